Serve the whole path with separate processes

Cause: there was no code. A caller needs one path from its key to a target's answer before any mechanism can be judged on it.

The entry process checks key, team and queue against the bundle in force, waits for a unit of the team's ceiling and a slot, and forwards the request with httpcore. The platform and the targets are HTTP stand-ins with faults.

Ruled out: one process for all roles (a fault could not be brought about in one part alone); PyInstaller for the single file (starts a child).

Conclusion: the frame stands; each mechanism replaces one module of it.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench, demo and build programs."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,223 @@
+"""A fleet of real processes on loopback: entries and stand-ins."""
+
+import hashlib
+import json
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import httpcore
+
+from bench.fleet_plan import FleetPlan
+from bench.fleet_process import FleetProcess
+from bench.ports import PORTS
+from comfreywind.cli.operator_client import call_operator
+from comfreywind.errors import PlatformError
+
+OPERATOR_TOKEN = 'token-of-the-loopback-fleet'
+LOOPBACK = '127.0.0.1'
+START_TIMEOUT_S = 20
+
+
+class Fleet:
+    """Starts, disturbs and stops the processes of a plan; use it as a context manager."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        """Choose ports and write the settings files."""
+        self.plan = plan
+        self._folder = tempfile.TemporaryDirectory(prefix='comfreywind-')
+        self.folder = Path(self._folder.name)
+        self.platform_address = _make_address()
+        self.caller_addresses = [_make_address() for _ in range(plan.entries_count)]
+        self.operator_addresses = [_make_address() for _ in range(plan.entries_count)]
+        self.peer_addresses = [_make_address() for _ in range(plan.entries_count)]
+        self.vms = self._plan_vms()
+        self.platform = self._make_platform()
+        self.targets = self._make_targets()
+        self.entries = [self._make_entry(index) for index in range(plan.entries_count)]
+        self.keys: dict[str, str] = {}
+
+    def __enter__(self) -> 'Fleet':
+        """Start all processes, put the bundle into force and grant each team a key."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop all processes."""
+        self.stop()
+
+    @property
+    def processes(self) -> list[FleetProcess]:
+        """Return all processes, in the order in which they are stopped."""
+        return [*self.entries, *self.targets, self.platform]
+
+    def start(self) -> None:
+        """Start everything and wait until every entry is ready."""
+        self.platform.start()
+        for target in self.targets:
+            target.start()
+        wait_until(lambda: _answers(self.platform_address, '/v1/vms'), 'platform stand-in')
+        for entry in self.entries:
+            entry.start()
+        wait_until(self._all_operators_answer, 'operator sides')
+        self.roll_out(1, self.plan.bundle)
+        for team in self.plan.bundle['teams']:
+            self.keys[team] = self.grant_key(team)
+        wait_until(self._all_ready, 'entries')
+        wait_until(self._all_know_keys, 'keys on all entries')
+
+    def stop(self) -> None:
+        """Stop everything and remove the settings files."""
+        for process in self.processes:
+            if process.is_running():
+                process.stop()
+        self._folder.cleanup()
+
+    def call_operator(
+        self, method: str, path: str, document: object | None = None, entry: int = 0
+    ) -> Any:
+        """Call the operator side of an entry and return the JSON reply."""
+        return call_operator(self.operator_addresses[entry], OPERATOR_TOKEN, method, path, document)
+
+    def roll_out(self, version: int, bundle: object, entry: int = 0) -> None:
+        """Create, sign off and roll out a bundle version."""
+        self.call_operator('POST', '/v1/bundles', {'version': version, 'bundle': bundle}, entry)
+        self.call_operator('POST', f'/v1/bundles/{version}/sign-off', entry=entry)
+        self.call_operator('POST', f'/v1/bundles/{version}/roll-out', entry=entry)
+
+    def grant_key(self, team: str) -> str:
+        """Grant a key to the team and return its text."""
+        return str(self.call_operator('POST', '/v1/keys', {'team': team})['key'])
+
+    def set_platform_faults(self, **faults: object) -> None:
+        """Replace the faults of the platform stand-in."""
+        put_json(self.platform_address, '/stand-in/faults', faults)
+
+    def set_target_faults(self, vm_index: int, **faults: object) -> None:
+        """Replace the faults of one executor."""
+        vm = self.vms[vm_index]
+        put_json(str(vm['address']), '/stand-in/faults', faults)
+
+    def read_run_log(self, vm_index: int = 0) -> dict[str, dict[str, int]]:
+        """Return the run log of the process that serves the executor."""
+        reply = httpcore.request('GET', f'http://{self.vms[vm_index]["address"]}/stand-in/runs')
+        log: dict[str, dict[str, int]] = json.loads(reply.content)
+        return log
+
+    def set_vms(self, vms: list[dict[str, Any]]) -> None:
+        """Replace the platform's true VM list."""
+        put_json(self.platform_address, '/stand-in/vms', {'vms': [_to_document(vm) for vm in vms]})
+
+    def _plan_vms(self) -> list[dict[str, Any]]:
+        vms = []
+        for pool, count in self.plan.executors_by_pool.items():
+            for index in range(count):
+                data_centre = self.plan.data_centres[index % len(self.plan.data_centres)]
+                rack = f'{pool}-rack-{index // self.plan.vms_per_rack}'
+                vms.append(
+                    {
+                        'name': f'{pool}-{index}',
+                        'address': _make_address(),
+                        'data_centre': data_centre,
+                        'rack': rack,
+                        'pool': pool,
+                    }
+                )
+        return vms
+
+    def _make_platform(self) -> FleetProcess:
+        settings = {
+            'address': self.platform_address,
+            'vms': self.vms,
+            'vm_list_lag_s': self.plan.vm_list_lag_s,
+        }
+        return FleetProcess(self.folder, 'platform', ['stand-in', 'platform'], settings)
+
+    def _make_targets(self) -> list[FleetProcess]:
+        processes = []
+        for process_index in range(self.plan.target_processes):
+            executors = [
+                {'name': vm['name'], 'address': vm['address'], 'slots': self.plan.slots}
+                for vm in self.vms[process_index :: self.plan.target_processes]
+            ]
+            name = f'target-{process_index}'
+            settings = {'executors': executors}
+            processes.append(FleetProcess(self.folder, name, ['stand-in', 'target'], settings))
+        return processes
+
+    def _make_entry(self, index: int) -> FleetProcess:
+        own_address = self.peer_addresses[index]
+        settings = {
+            'name': f'entry-{index}',
+            'data_centre': self.plan.data_centres[index % len(self.plan.data_centres)],
+            'caller_address': self.caller_addresses[index],
+            'operator_address': self.operator_addresses[index],
+            'peer_address': own_address,
+            'platform_address': self.platform_address,
+            'peers': [address for address in self.peer_addresses if address != own_address],
+            'operator_token_sha256': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest(),
+            'timings': self.plan.timings,
+        }
+        return FleetProcess(self.folder, f'entry-{index}', ['entry'], settings)
+
+    def _all_operators_answer(self) -> bool:
+        return all(_answers(address, '/v1/status', 401) for address in self.operator_addresses)
+
+    def _all_ready(self) -> bool:
+        return all(_answers(address, '/health/ready') for address in self.caller_addresses)
+
+    def _all_know_keys(self) -> bool:
+        sequences = [
+            self.call_operator('GET', '/v1/status', entry=index)['keys_count']
+            for index in range(self.plan.entries_count)
+        ]
+        return all(count >= len(self.keys) for count in sequences)
+
+
+def wait_until(
+    condition: Callable[[], bool], name: str, timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Return when the condition holds; raise TimeoutError when it does not in time."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise TimeoutError(f'{name}: not so after {timeout_s} s')
+
+
+def put_json(address: str, path: str, document: object) -> None:
+    """Send a JSON document with PUT; raise PlatformError for a refusal."""
+    body = json.dumps(document).encode()
+    reply = httpcore.request('PUT', f'http://{address}{path}', content=body)
+    if reply.status != 200:
+        raise PlatformError(f'PUT {path}: status {reply.status}')
+
+
+def _answers(address: str, path: str, status: int = 200) -> bool:
+    try:
+        return httpcore.request('GET', f'http://{address}{path}').status == status
+    except httpcore.NetworkError:
+        return False
+
+
+def _make_address() -> str:
+    return f'{LOOPBACK}:{PORTS.find_free()}'
+
+
+def _to_document(vm: dict[str, Any]) -> dict[str, Any]:
+    host, _, port = str(vm['address']).rpartition(':')
+    defaults = {'state': 'live', 'incarnation': 1}
+    return {**defaults, **vm, 'address': host, 'port': int(port)}
--- /dev/null
+++ b/comfreywind/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Rule bundles: border models, validation and the rules used inside."""
--- /dev/null
+++ b/comfreywind/bundle/parse.py
@@ -0,0 +1,57 @@
+"""Turns a bundle document into rules and checks what no single field can tell."""
+
+from collections.abc import Iterator
+
+from comfreywind.bundle.models import BundleDocument, QueueModel
+from comfreywind.bundle.rules import Objective, PoolRules, QueueRules, Rules, TeamRules
+from comfreywind.errors import BundleError
+from comfreywind.settings.loader import validate_model
+
+
+def parse_bundle(document: object, source: str) -> BundleDocument:
+    """Return the bundle; raise BundleError naming source, key path and reason."""
+    bundle = validate_model(BundleDocument, document, source, BundleError)
+    faults = [*_find_queue_faults(bundle), *_find_objective_faults(bundle)]
+    if faults:
+        raise BundleError(f'{source}: {"; ".join(faults)}')
+    return bundle
+
+
+def make_rules(bundle: BundleDocument, version: int) -> Rules:
+    """Return the rules of a checked bundle."""
+    return Rules(
+        version=version,
+        teams={name: TeamRules(name, **dict(team)) for name, team in bundle.teams.items()},
+        pools={name: PoolRules(name, **dict(pool)) for name, pool in bundle.pools.items()},
+        queues={
+            name: QueueRules(name, **{**dict(queue), 'teams': frozenset(queue.teams)})
+            for name, queue in bundle.queues.items()
+        },
+        objectives=tuple(Objective(**dict(objective)) for objective in bundle.objectives),
+    )
+
+
+def _find_queue_faults(bundle: BundleDocument) -> Iterator[str]:
+    for name, queue in bundle.queues.items():
+        pool = bundle.pools.get(queue.pool)
+        if pool is None:
+            yield f'queues.{name}.pool: no pool is named {queue.pool!r}'
+        elif pool.spare:
+            yield f'queues.{name}.pool: {queue.pool!r} is a spare pool, which serves no queue'
+        yield from _find_team_faults(name, queue, set(bundle.teams))
+
+
+def _find_team_faults(name: str, queue: QueueModel, known_teams: set[str]) -> Iterator[str]:
+    named_teams = {*queue.teams, queue.open_team} - {None}
+    for team in named_teams - known_teams:
+        yield f'queues.{name}: no team is named {team!r}'
+    if queue.open and queue.open_team is None:
+        yield f'queues.{name}.open_team: a queue open to all needs a team for its work'
+    if not queue.open and not queue.teams:
+        yield f'queues.{name}.teams: no team may use this queue'
+
+
+def _find_objective_faults(bundle: BundleDocument) -> Iterator[str]:
+    for index, objective in enumerate(bundle.objectives):
+        if objective.queue not in bundle.queues:
+            yield f'objectives.{index}.queue: no queue is named {objective.queue!r}'
--- /dev/null
+++ b/comfreywind/bundle/rules.py
@@ -0,0 +1,66 @@
+"""Rules in force, as the rest of the program uses them."""
+
+from dataclasses import dataclass
+from typing import Literal
+
+ToleratedLoss = Literal['none', 'rack', 'data-centre']
+
+
+@dataclass(frozen=True, slots=True)
+class TeamRules:
+    """A team's weight in fair sharing and its ceiling of requests running at once."""
+
+    name: str
+    weight: float
+    ceiling_units: int
+
+
+@dataclass(frozen=True, slots=True)
+class PoolRules:
+    """A pool's run time limit, executor limits and availability budget."""
+
+    name: str
+    max_run_s: float
+    minimum_available_ratio: float
+    tolerate: ToleratedLoss
+    spare: bool
+    slots_per_vm: int
+    connections_per_vm: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRules:
+    """A queue's pool, the teams that may use it, its order and its length limit."""
+
+    name: str
+    pool: str
+    teams: frozenset[str]
+    open: bool
+    open_team: str | None
+    urgent: bool
+    queue_limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    """A service-level objective of a queue."""
+
+    queue: str
+    success_ratio: float
+    latency_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """One accepted version of the rules."""
+
+    version: int
+    teams: dict[str, TeamRules]
+    pools: dict[str, PoolRules]
+    queues: dict[str, QueueRules]
+    objectives: tuple[Objective, ...]
+
+    @property
+    def longest_run_s(self) -> float:
+        """Return the longest time in seconds that any request may run."""
+        return max(pool.max_run_s for pool in self.pools.values())
--- /dev/null
+++ b/comfreywind/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module per command."""
--- /dev/null
+++ b/comfreywind/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control work: pools, availability budgets, maintenance waves and VM moves."""
--- /dev/null
+++ b/comfreywind/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: admission, queues, routing and forwarding for callers."""
--- /dev/null
+++ b/comfreywind/entry/even_split_units.py
@@ -0,0 +1,36 @@
+"""An even split of the ceilings: the simplest policy, kept as the baseline of the bench."""
+
+from collections import Counter
+
+from comfreywind.entry.rules_view import RulesView
+
+
+class EvenSplitUnits:
+    """Gives each of a fixed number of entries the same part of every ceiling."""
+
+    def __init__(self, rules_view: RulesView, entries_count: int) -> None:
+        """Split by the number of entries in the settings."""
+        self._rules_view = rules_view
+        self._entries_count = entries_count
+        self._used: Counter[str] = Counter()
+
+    def try_take(self, team: str) -> bool:
+        """Take one unit of this entry's part if one is free."""
+        rules = self._rules_view.rules
+        if rules is None or team not in rules.teams:
+            return False
+        if self._used[team] >= rules.teams[team].ceiling_units // self._entries_count:
+            return False
+        self._used[team] += 1
+        return True
+
+    def give_back(self, team: str) -> None:
+        """Return a unit."""
+        self._used[team] -= 1
+
+    def report_waiting(self, team: str, waiting_count: int) -> None:
+        """Ignore the demand; the split is fixed."""
+
+    def read_session_left_s(self) -> float:
+        """Return the freshness that is left, since nothing is leased here."""
+        return self._rules_view.read_fresh_left_s()
--- /dev/null
+++ b/comfreywind/entry/feed.py
@@ -0,0 +1,87 @@
+"""Follows the platform's change feed."""
+
+import logging
+
+import trio
+
+from comfreywind.bundle.parse import make_rules, parse_bundle
+from comfreywind.clock import Clock
+from comfreywind.decisions.keys import TeamKey
+from comfreywind.entry.fleet_view import FleetView
+from comfreywind.entry.rules_view import RulesView
+from comfreywind.errors import ComfreywindError, PlatformError
+from comfreywind.platform.object_client import ObjectClient
+from comfreywind.platform.row import Row
+from comfreywind.platform.table_client import TableClient
+from comfreywind.platform.table_names import ROW_BUNDLE, TABLE_CURRENT, TABLE_KEYS, TABLE_VMS
+
+FOLLOWED_TABLES = (TABLE_CURRENT, TABLE_KEYS, TABLE_VMS)
+
+log = logging.getLogger('comfreywind.feed')
+
+
+class Feed:
+    """Reads changes in a fixed period and applies them to the views of this entry."""
+
+    def __init__(
+        self,
+        tables: TableClient,
+        objects: ObjectClient,
+        rules_view: RulesView,
+        fleet_view: FleetView,
+        clock: Clock,
+    ) -> None:
+        """Use the given clients and views."""
+        self._tables = tables
+        self._objects = objects
+        self._rules_view = rules_view
+        self._fleet_view = fleet_view
+        self._clock = clock
+
+    async def run(self, interval_s: float) -> None:
+        """Poll for ever; a failed read leaves the views as they are."""
+        while True:
+            try:
+                await self.poll_once()
+            except ComfreywindError as error:
+                log.warning("the change feed can't be read: %s", error)
+            await trio.sleep(interval_s)
+
+    async def poll_once(self) -> None:
+        """Read and apply all changes since the last poll; raise PlatformError on failure."""
+        started_s = self._clock.read_monotonic_s()
+        changes = await self._tables.read_changes(self._rules_view.sequence, FOLLOWED_TABLES)
+        for row in changes.rows:
+            await self._apply_row(row)
+        self._rules_view.sequence = changes.sequence
+        self._rules_view.confirm(started_s)
+
+    async def _apply_row(self, row: Row) -> None:
+        if row.table == TABLE_KEYS and row.value is not None:
+            self._rules_view.apply_key(parse_key_row(row))
+        elif row.table == TABLE_VMS:
+            self._fleet_view.apply_vm_row(row)
+        elif row.table == TABLE_CURRENT and row.key == ROW_BUNDLE and row.value is not None:
+            await self._load_bundle(row.value['version'], row.value['digest'])
+
+    async def _load_bundle(self, version: int, digest: str) -> None:
+        try:
+            document = await self._objects.read(f'bundles-{digest}')
+        except PlatformError:
+            log.warning('bundle version %d is accepted but its content is not readable', version)
+            raise
+        rules = make_rules(parse_bundle(document, f'bundle version {version}'), version)
+        if self._rules_view.apply_rules(rules):
+            log.info('bundle version %d is in force', version)
+
+
+def parse_key_row(row: Row) -> TeamKey:
+    """Return the key in a row of the table `keys`."""
+    fields = row.value or {}
+    return TeamKey(
+        key_id=row.key,
+        team=fields['team'],
+        secret_sha256=fields['secret_sha256'],
+        withdrawn=fields['state'] == 'withdrawn',
+        row_version=row.version,
+    )
--- /dev/null
+++ b/comfreywind/entry/fleet_view.py
@@ -0,0 +1,58 @@
+"""The VMs that this entry knows of and the pool each one belongs to."""
+
+from collections.abc import Iterable
+
+from comfreywind.platform.row import Row
+from comfreywind.platform.vm_entry import VmEntry
+
+STATE_ACTIVE = 'active'
+
+
+class FleetView:
+    """Joins the platform's VM list with the rows of the table `vms`.
+
+    The row decides the pool; a VM without a row belongs to the pool on the list.
+    """
+
+    def __init__(self) -> None:
+        """Start without any VM."""
+        self._listed: dict[str, VmEntry] = {}
+        self._rows: dict[str, Row] = {}
+
+    def apply_vm_list(self, vms: Iterable[VmEntry]) -> None:
+        """Take a newer list from the platform."""
+        self._listed = {vm.name: vm for vm in vms}
+
+    def apply_vm_row(self, row: Row) -> None:
+        """Take a newer row of the table `vms`."""
+        if row.value is None:
+            self._rows.pop(row.key, None)
+            return
+        self._rows[row.key] = row
+
+    def list_vms(self) -> list[VmEntry]:
+        """Return all VMs on the platform's list."""
+        return list(self._listed.values())
+
+    def read_row(self, name: str) -> Row | None:
+        """Return the VM's row in the table `vms`, if it has one."""
+        return self._rows.get(name)
+
+    def find_pool(self, vm: VmEntry) -> str:
+        """Return the pool that the VM belongs to."""
+        row = self._rows.get(vm.name)
+        return vm.pool if row is None or row.value is None else str(row.value['pool'])
+
+    def list_usable(self, pool: str) -> list[VmEntry]:
+        """Return the VMs of the pool that take new work."""
+        return [
+            vm
+            for vm in self._listed.values()
+            if self.find_pool(vm) == pool and self._takes_work(vm)
+        ]
+
+    def _takes_work(self, vm: VmEntry) -> bool:
+        if vm.state != 'live':
+            return False
+        row = self._rows.get(vm.name)
+        return row is None or row.value is None or row.value['state'] == STATE_ACTIVE
--- /dev/null
+++ b/comfreywind/entry/operator_app.py
@@ -0,0 +1,135 @@
+"""The operators' HTTP side."""
+
+import hmac
+import logging
+
+from comfreywind.decisions.keys import hash_secret
+from comfreywind.entry.fleet_view import FleetView
+from comfreywind.entry.header_rules import find_header
+from comfreywind.entry.operations import Operations
+from comfreywind.entry.rules_view import RulesView
+from comfreywind.errors import BundleError, OperationRefusedError, PlatformError
+from comfreywind.http.asgi_body import BodyMalformedError, read_json
+from comfreywind.http.asgi_reply import send_json
+from comfreywind.http.asgi_types import Receive, Scope, Send
+from comfreywind.http.routes import HttpCall, find_route, make_route
+
+BODY_LIMIT_BYTES = 4_194_304
+BAD_REQUEST_ERRORS = (BodyMalformedError, BundleError, KeyError, ValueError)
+
+log = logging.getLogger('comfreywind.operator')
+
+
+class OperatorApp:
+    """Serves operators who present the operator token."""
+
+    def __init__(
+        self,
+        entry_name: str,
+        token_sha256: str,
+        operations: Operations,
+        rules_view: RulesView,
+        fleet_view: FleetView,
+    ) -> None:
+        """Use the given parts."""
+        self._entry_name = entry_name
+        self._token_sha256 = token_sha256
+        self._operations = operations
+        self._rules_view = rules_view
+        self._fleet_view = fleet_view
+        self._routes = [
+            make_route('GET', '/v1/status', self._get_status),
+            make_route('GET', '/v1/pools', self._get_pools),
+            make_route('GET', '/v1/vms', self._get_vms),
+            make_route('GET', '/v1/teams', self._get_teams),
+            make_route('POST', '/v1/bundles', self._post_bundle),
+            make_route('POST', '/v1/bundles/{version}/sign-off', self._post_sign_off),
+            make_route('POST', '/v1/bundles/{version}/roll-out', self._post_roll_out),
+            make_route('POST', '/v1/keys', self._post_key),
+            make_route('DELETE', '/v1/keys/{key_id}', self._delete_key),
+        ]
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if not self._is_operator(find_header(scope['headers'], b'authorization')):
+            await send_json(send, 401, {'error': 'the operator token is missing or wrong'})
+            return
+        found = find_route(self._routes, scope['method'], scope['path'])
+        if found is None:
+            await send_json(send, 404, {'error': 'unknown path or method'})
+            return
+        route, path_parts = found
+        try:
+            await route.endpoint(HttpCall(scope, receive, send, path_parts))
+        except BAD_REQUEST_ERRORS as error:
+            await send_json(send, 400, {'error': str(error)})
+        except OperationRefusedError as error:
+            await send_json(send, 409, {'error': str(error)})
+        except PlatformError as error:
+            log.warning('an operation failed: %s', error)
+            await send_json(send, 503, {'error': f'the platform gave no answer: {error}'})
+
+    def _is_operator(self, authorization: str) -> bool:
+        token = authorization.removeprefix('Bearer ')
+        return hmac.compare_digest(hash_secret(token), self._token_sha256)
+
+    async def _get_status(self, call: HttpCall) -> None:
+        rules = self._rules_view.rules
+        status = {
+            'entry': self._entry_name,
+            'bundle_version': rules.version if rules else None,
+            'sequence': self._rules_view.sequence,
+            'keys_count': len(self._rules_view.keys),
+            'fresh': self._rules_view.is_fresh(),
+        }
+        await send_json(call.send, 200, status)
+
+    async def _get_pools(self, call: HttpCall) -> None:
+        rules = self._rules_view.rules
+        names = sorted(rules.pools) if rules else []
+        pools = [{'name': name, 'usable_vms': self._count_usable(name)} for name in names]
+        await send_json(call.send, 200, {'pools': pools})
+
+    async def _get_vms(self, call: HttpCall) -> None:
+        vms = [
+            {'name': vm.name, 'pool': self._fleet_view.find_pool(vm), 'state': vm.state}
+            for vm in self._fleet_view.list_vms()
+        ]
+        await send_json(call.send, 200, {'vms': vms})
+
+    async def _get_teams(self, call: HttpCall) -> None:
+        rules = self._rules_view.rules
+        known_teams = rules.teams.values() if rules else ()
+        teams = [
+            {'name': team.name, 'weight': team.weight, 'ceiling_units': team.ceiling_units}
+            for team in known_teams
+        ]
+        await send_json(call.send, 200, {'teams': teams})
+
+    async def _post_bundle(self, call: HttpCall) -> None:
+        document = await read_json(call.receive, BODY_LIMIT_BYTES)
+        version = int(document['version'])
+        digest = await self._operations.create_version(version, document['bundle'])
+        await send_json(call.send, 201, {'version': version, 'digest': digest})
+
+    async def _post_sign_off(self, call: HttpCall) -> None:
+        version = int(call.path_parts['version'])
+        await self._operations.sign_off(version)
+        await send_json(call.send, 200, {'version': version, 'state': 'signed-off'})
+
+    async def _post_roll_out(self, call: HttpCall) -> None:
+        version = int(call.path_parts['version'])
+        await self._operations.roll_out(version)
+        await send_json(call.send, 200, {'version': version, 'state': 'accepted'})
+
+    async def _post_key(self, call: HttpCall) -> None:
+        document = await read_json(call.receive, BODY_LIMIT_BYTES)
+        key = await self._operations.grant_key(str(document['team']))
+        await send_json(call.send, 201, {'key_id': key.key_id, 'key': key.text})
+
+    async def _delete_key(self, call: HttpCall) -> None:
+        await self._operations.withdraw_key(call.path_parts['key_id'])
+        await send_json(call.send, 200, {'key_id': call.path_parts['key_id'], 'state': 'withdrawn'})
+
+    def _count_usable(self, pool: str) -> int:
+        return len(self._fleet_view.list_usable(pool))
--- /dev/null
+++ b/comfreywind/entry/vm_list_poller.py
@@ -0,0 +1,21 @@
+"""Follows the platform's VM list."""
+
+import logging
+
+import trio
+
+from comfreywind.entry.fleet_view import FleetView
+from comfreywind.errors import PlatformError
+from comfreywind.platform.vm_list_client import VmListClient
+
+log = logging.getLogger('comfreywind.fleet')
+
+
+async def poll_vm_list(client: VmListClient, fleet_view: FleetView, interval_s: float) -> None:
+    """Read the list in a fixed period for ever; a failed read keeps the old list."""
+    while True:
+        try:
+            fleet_view.apply_vm_list(await client.read_vms())
+        except PlatformError as error:
+            log.warning("the VM list can't be read: %s", error)
+        await trio.sleep(interval_s)
--- /dev/null
+++ b/comfreywind/errors.py
@@ -0,0 +1,61 @@
+"""The exception tree; every error of the project derives from `ComfreywindError`."""
+
+from comfreywind.exit_status import ExitStatus
+
+
+class ComfreywindError(Exception):
+    """Base class of all errors that the project raises on purpose."""
+
+    exit_status = ExitStatus.FAILURE
+
+
+class SettingsError(ComfreywindError):
+    """A settings file is missing, malformed or holds a value out of range."""
+
+    exit_status = ExitStatus.SETTINGS_ERROR
+
+
+class BundleError(ComfreywindError):
+    """A rule bundle breaks a rule; nothing of it is accepted."""
+
+    exit_status = ExitStatus.BUNDLE_ERROR
+
+
+class OperationRefusedError(ComfreywindError):
+    """An operator's request was refused and changed nothing."""
+
+    exit_status = ExitStatus.REFUSED
+
+
+class PlatformError(ComfreywindError):
+    """Base class of errors of the platform's services."""
+
+    exit_status = ExitStatus.UNREACHABLE
+
+
+class StoreUnavailableError(PlatformError):
+    """The store gave no usable answer; a write may or may not have taken effect."""
+
+
+class RowConflictError(PlatformError):
+    """A transaction was refused because rows changed; nothing was written.
+
+    `conflicts` maps (table, key) to the version now in the table, 0 for a missing row.
+    """
+
+    def __init__(self, conflicts: dict[tuple[str, str], int]) -> None:
+        """Keep the rows whose versions differ."""
+        super().__init__(f'rows changed: {sorted(conflicts)}')
+        self.conflicts = conflicts
+
+
+class ObjectExistsError(PlatformError):
+    """An object of that name is in the store already."""
+
+
+class ObjectMissingError(PlatformError):
+    """The store has no object of that name."""
+
+
+class PeerError(ComfreywindError):
+    """A peer stream failed or carried a frame that can't be read."""
--- /dev/null
+++ b/comfreywind/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entry processes."""
--- /dev/null
+++ b/comfreywind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table service, object store and VM list."""
--- /dev/null
+++ b/comfreywind/platform/vm_list_client.py
@@ -0,0 +1,41 @@
+"""Client of the platform's VM list."""
+
+from comfreywind.errors import StoreUnavailableError
+from comfreywind.http.client import HttpClient
+from comfreywind.platform.store_call import call_store
+from comfreywind.platform.vm_entry import VmEntry
+from comfreywind.settings.address import Address
+
+STATUS_ACCEPTED = 202
+
+
+class VmListClient:
+    """Reads the lagging list of VMs and asks for reboots."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Use the given client; its timeout holds for each call."""
+        self._client = client
+
+    async def read_vms(self) -> tuple[VmEntry, ...]:
+        """Return the VMs on the list."""
+        reply = await call_store(self._client, 'GET', '/v1/vms')
+        return tuple(_parse_vm(vm) for vm in reply.read_json()['vms'])
+
+    async def reboot(self, name: str) -> None:
+        """Ask the platform to reboot the VM."""
+        reply = await call_store(self._client, 'POST', f'/v1/vms/{name}/reboot')
+        if reply.status != STATUS_ACCEPTED:
+            raise StoreUnavailableError(f'reboot of {name}: status {reply.status}')
+
+
+def _parse_vm(vm: dict[str, object]) -> VmEntry:
+    address = Address(str(vm['address']), int(str(vm['port'])))
+    return VmEntry(
+        name=str(vm['name']),
+        address=address,
+        data_centre=str(vm['data_centre']),
+        rack=str(vm['rack']),
+        pool=str(vm['pool']),
+        state='leaving' if vm['state'] == 'leaving' else 'live',
+        incarnation=int(str(vm['incarnation'])),
+    )
--- /dev/null
+++ b/comfreywind/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports: service-level burn and decision history."""
--- /dev/null
+++ b/comfreywind/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: YAML loaded into validated models."""
--- /dev/null
+++ b/comfreywind/settings/timings.py
@@ -0,0 +1,25 @@
+"""Time limits and periods of an entry process, in seconds."""
+
+from pydantic import Field
+
+from comfreywind.settings.base import SettingsModel
+
+
+class Timings(SettingsModel):
+    """Periods and limits; the defaults are those of docs/design.md."""
+
+    renew_interval_s: float = Field(default=1, gt=0)
+    session_ttl_s: float = Field(default=4, gt=0)
+    clock_drift_ratio: float = Field(default=0.01, ge=0, lt=1)
+    fresh_s: float = Field(default=4, gt=0)
+    feed_interval_s: float = Field(default=0.5, gt=0)
+    vm_list_interval_s: float = Field(default=1, gt=0)
+    heartbeat_interval_s: float = Field(default=0.25, gt=0)
+    peer_silent_s: float = Field(default=1.5, gt=0)
+    platform_timeout_s: float = Field(default=2, gt=0)
+    silent_probe_s: float = Field(default=1, gt=0)
+    connect_timeout_s: float = Field(default=1, gt=0)
+    drain_notice_s: float = Field(default=2, ge=0)
+    default_deadline_s: float = Field(default=30, gt=0)
+    suspect_s: float = Field(default=10, gt=0)
+    claim_retention_s: float = Field(default=86400, gt=0)
--- /dev/null
+++ b/comfreywind/stand_ins/executor_app.py
@@ -0,0 +1,125 @@
+"""One executor of the target stand-in: an HTTP server with a fixed number of slots."""
+
+import json
+from urllib.parse import parse_qs
+
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.http.asgi_body import read_body, read_json
+from comfreywind.http.asgi_reply import send_json
+from comfreywind.http.asgi_types import HeaderList, Receive, Scope, Send
+from comfreywind.settings.target_stand_in import ExecutorSettings
+from comfreywind.stand_ins.connection_silencer import ConnectionSilencer
+from comfreywind.stand_ins.faults import TargetFaults
+from comfreywind.stand_ins.run_log import RunLog
+
+BODY_LIMIT_BYTES = 16_777_216
+NOT_RUN: HeaderList = [(b'comfreywind-outcome', b'not-run')]
+
+
+class CutBodyError(Exception):
+    """Ends a response in the middle of its body."""
+
+
+class ExecutorApp:
+    """Runs `/work` in a slot for the asked time and answers with the asked number of bytes."""
+
+    def __init__(self, settings: ExecutorSettings, run_log: RunLog, clock: Clock) -> None:
+        """Start with all slots free."""
+        self._settings = settings
+        self._run_log = run_log
+        self._clock = clock
+        self._busy_slots = 0
+        self._faults = TargetFaults()
+        self._silencer = ConnectionSilencer()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope['path'] == '/stand-in/runs':
+            await send_json(send, 200, self._run_log.to_document())
+            return
+        if scope['path'] == '/stand-in/faults':
+            await self._put_faults(receive, send)
+            return
+        await self._serve_work(scope, receive, send)
+
+    async def _put_faults(self, receive: Receive, send: Send) -> None:
+        document = await read_json(receive, BODY_LIMIT_BYTES)
+        self._faults = TargetFaults.model_validate(document)
+        if self._faults.silence_open_connections:
+            self._silencer.silence_open()
+        await send_json(send, 200, self._faults.model_dump())
+
+    async def _serve_work(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if self._silencer.is_silent(scope) or self._faults.freeze:
+            await trio.sleep_forever()
+        body = await read_body(receive, BODY_LIMIT_BYTES)
+        headers = {name.decode(): header.decode() for name, header in scope['headers']}
+        refusal = self._find_refusal(headers)
+        if refusal:
+            await send_json(send, 503, {'error': refusal}, NOT_RUN)
+            return
+        if self._faults.fail_all:
+            await send_json(send, 500, {'error': 'this executor fails every task'})
+            return
+        await self._run_task(scope, headers, body, send)
+
+    def _find_refusal(self, headers: dict[str, str]) -> str | None:
+        if self._busy_slots >= self._settings.slots:
+            return 'no free slot'
+        start_before = headers.get('comfreywind-start-before')
+        if start_before and self._clock.read_utc().timestamp() > float(start_before):
+            return 'the lease of the dispatch has lapsed'
+        return None
+
+    async def _run_task(
+        self, scope: Scope, headers: dict[str, str], body: bytes, send: Send
+    ) -> None:
+        request_id = headers.get('x-request-id', '')
+        team = headers.get('comfreywind-team', '')
+        query = parse_qs(scope['query_string'].decode())
+        duration_s = float(query.get('duration_s', ['0'])[0]) + self._faults.latency_s
+        run_until = headers.get('comfreywind-run-until')
+        lease_s = float('inf')
+        if run_until:
+            lease_s = max(0, float(run_until) - self._clock.read_utc().timestamp())
+        self._busy_slots += 1
+        self._run_log.start(request_id, team)
+        try:
+            with trio.move_on_after(lease_s) as lease:
+                await trio.sleep(duration_s)
+        finally:
+            self._busy_slots -= 1
+            self._run_log.finish(team)
+        if lease.cancelled_caught:
+            await send_json(send, 500, {'error': 'the task was stopped when its lease ended'})
+            return
+        answer = {
+            'executor': self._settings.name,
+            'request_id': request_id,
+            'team': team,
+            'path': scope['path'],
+            'received_bytes': len(body),
+        }
+        await self._send_answer(answer, query, send)
+
+    async def _send_answer(
+        self, answer: dict[str, object], query: dict[str, list[str]], send: Send
+    ) -> None:
+        padding_bytes = int(query.get('bytes', ['0'])[0])
+        chunk_count = int(query.get('chunks', ['1'])[0])
+        text = b'\n'.join((json.dumps(answer).encode(), b'x' * padding_bytes))
+        headers: HeaderList = [(b'content-type', b'application/json')]
+        if chunk_count <= 1:
+            headers.append((b'content-length', str(len(text)).encode()))
+        await send({'type': 'http.response.start', 'status': 200, 'headers': headers})
+        cut_bytes = self._faults.cut_body_after_bytes
+        if cut_bytes is not None:
+            await send({'type': 'http.response.body', 'body': text[:cut_bytes], 'more_body': True})
+            raise CutBodyError('the body was cut as asked')
+        chunk_bytes = max(1, -(-len(text) // max(1, chunk_count)))
+        for start in range(0, len(text), chunk_bytes):
+            chunk = text[start : start + chunk_bytes]
+            await send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
+        await send({'type': 'http.response.body', 'body': b''})
--- /dev/null
+++ b/comfreywind/stand_ins/run_log.py
@@ -0,0 +1,31 @@
+"""Counts of what the executors ran, as evidence for tests and bench."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class RunLog:
+    """Runs by request id, and what runs now and ran at most at once, by team."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    running: Counter[str] = field(default_factory=Counter)
+    highest_running: Counter[str] = field(default_factory=Counter)
+
+    def start(self, request_id: str, team: str) -> None:
+        """Count the start of a run."""
+        self.runs[request_id] += 1
+        self.running[team] += 1
+        self.highest_running[team] = max(self.highest_running[team], self.running[team])
+
+    def finish(self, team: str) -> None:
+        """Count the end of a run."""
+        self.running[team] -= 1
+
+    def to_document(self) -> dict[str, dict[str, int]]:
+        """Return the counts as a JSON document."""
+        return {
+            'runs': dict(self.runs),
+            'running': dict(self.running),
+            'highest_running': dict(self.highest_running),
+        }
--- /dev/null
+++ b/tests/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model checks of the core protocol."""
