--- /dev/null
+++ b/comfreywind/peers/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry processes, one file each."""
