--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -68,7 +68,7 @@
         self.platform.start()
         for target in self.targets:
             target.start()
-        wait_until(lambda: _answers(self.platform_address, '/v1/vms'), 'platform stand-in')
+        wait_until(lambda: answers(self.platform_address, '/v1/vms'), 'platform stand-in')
         for entry in self.entries:
             entry.start()
         wait_until(self._all_operators_answer, 'operator sides')
@@ -173,10 +173,10 @@
         return FleetProcess(self.folder, f'entry-{index}', ['entry'], settings)
 
     def _all_operators_answer(self) -> bool:
-        return all(_answers(address, '/v1/status', 401) for address in self.operator_addresses)
+        return all(answers(address, '/v1/status', 401) for address in self.operator_addresses)
 
     def _all_ready(self) -> bool:
-        return all(_answers(address, '/health/ready') for address in self.caller_addresses)
+        return all(answers(address, '/health/ready') for address in self.caller_addresses)
 
     def _all_know_keys(self) -> bool:
         sequences = [
@@ -206,7 +206,8 @@
         raise PlatformError(f'PUT {path}: status {reply.status}')
 
 
-def _answers(address: str, path: str, status: int = 200) -> bool:
+def answers(address: str, path: str, status: int = 200) -> bool:
+    """Return whether a GET request to the path gets the status."""
     try:
         return httpcore.request('GET', f'http://{address}{path}').status == status
     except httpcore.NetworkError:
--- a/comfreywind/bundle/parse.py
+++ b/comfreywind/bundle/parse.py
@@ -1,19 +1,25 @@
 """Turns a bundle document into rules and checks what no single field can tell."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from comfreywind.bundle.models import BundleDocument, QueueModel
+from comfreywind.bundle.overlay import apply_overlays, find_overlay_faults
 from comfreywind.bundle.rules import Objective, PoolRules, QueueRules, Rules, TeamRules
+from comfreywind.bundle.source import BundleSource
 from comfreywind.errors import BundleError
 from comfreywind.settings.loader import validate_model
 
 
 def parse_bundle(document: object, source: str) -> BundleDocument:
-    """Return the bundle; raise BundleError naming source, key path and reason."""
-    bundle = validate_model(BundleDocument, document, source, BundleError)
-    faults = [*_find_queue_faults(bundle), *_find_objective_faults(bundle)]
-    if faults:
-        raise BundleError(f'{source}: {"; ".join(faults)}')
+    """Return the central rules with the branches' overlays applied.
+
+    Raises BundleError naming source, key path and reason of everything that is wrong.
+    """
+    bundle_source = validate_model(BundleSource, document, source, BundleError)
+    _raise_faults(source, find_overlay_faults(bundle_source))
+    merged_document = apply_overlays(bundle_source)
+    bundle = validate_model(BundleDocument, merged_document, source, BundleError)
+    _raise_faults(source, [*_find_queue_faults(bundle), *_find_objective_faults(bundle)])
     return bundle
 
 
@@ -31,6 +37,12 @@
     )
 
 
+def _raise_faults(source: str, faults: Iterable[str]) -> None:
+    reasons = '; '.join(faults)
+    if reasons:
+        raise BundleError(f'{source}: {reasons}')
+
+
 def _find_queue_faults(bundle: BundleDocument) -> Iterator[str]:
     for name, queue in bundle.queues.items():
         pool = bundle.pools.get(queue.pool)
