Add the service-level burn report, result summaries and statsd metrics

Cause: operators need to see what spends a service's error budget, and the counts must survive the replacement of the entry that made them.

Each process rewrites two objects of its own (minutes of 7 hours, hours of 31 days), named by entry and start, and lists itself in one row, so a report reads two objects a process and the write rate is two a minute an entry.

Ruled out: one row a minute in the table service (388,800 rows in 30 days for 9 entries); objects named by entry only (a replaced process would overwrite its predecessor's counts).

After: burn rates and alerts match hand-computed cases; the counts of a killed entry are in the report of another one (tests/test_burn_report.py).

--- a/comfreywind/cli/root.py
+++ b/comfreywind/cli/root.py
@@ -7,6 +7,7 @@
 from comfreywind.cli.check import check_command
 from comfreywind.cli.entry import entry_command
 from comfreywind.cli.key import key_group
+from comfreywind.cli.report import report_group
 from comfreywind.cli.show import show_command
 from comfreywind.cli.stand_in import stand_in_group
 
@@ -23,3 +24,4 @@
 root_command.add_command(bundle_group)
 root_command.add_command(key_group)
 root_command.add_command(show_command)
+root_command.add_command(report_group)
--- a/comfreywind/entry/caller_app.py
+++ b/comfreywind/entry/caller_app.py
@@ -15,6 +15,7 @@
 from comfreywind.entry.header_rules import find_header, select_request_headers
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.scope_keys import SCOPE_QUEUE, SCOPE_TEAM
 from comfreywind.http.asgi_body import BodyIncompleteError, BodyTooLargeError, read_body
 from comfreywind.http.asgi_reply import send_json, send_reply
 from comfreywind.http.asgi_types import HeaderList, Receive, Scope, Send
@@ -73,6 +74,8 @@
                 Refusal(RefusalReason.QUEUE_UNKNOWN, 'paths start with /queues/{queue}/')
             )
         admission = self._admit(scope['headers'], path.group(1), rules)
+        scope[SCOPE_QUEUE] = admission.queue.name
+        scope[SCOPE_TEAM] = admission.team
         request = await self._read_request(scope, receive, request_id, admission)
         pool = rules.pools[admission.queue.pool]
         await self._forwarder.forward(request, admission.queue, pool.max_run_s, send)
@@ -141,6 +144,7 @@
     headers: HeaderList = [
         (b'x-request-id', request_id.encode('latin-1', 'replace')),
         (b'comfreywind-outcome', refusal.outcome.value.encode()),
+        (b'comfreywind-reason', refusal.reason.problem.encode()),
     ]
     if refusal.retry_after_s is not None:
         headers.append((b'retry-after', str(math.ceil(refusal.retry_after_s)).encode()))
--- /dev/null
+++ b/comfreywind/entry/observed_app.py
@@ -0,0 +1,82 @@
+"""Observes the callers' side: metrics and results for the burn report."""
+
+from comfreywind.clock import Clock
+from comfreywind.entry.header_rules import find_header
+from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.scope_keys import SCOPE_QUEUE, SCOPE_TEAM
+from comfreywind.http.asgi_types import AsgiApp, Message, Receive, Scope, Send
+from comfreywind.metrics import Metrics
+from comfreywind.report.request_facts import RequestFacts
+from comfreywind.report.result_recorder import ResultRecorder
+from comfreywind.report.service_result import classify_request
+
+DEFAULT_LATENCY_LIMIT_S = 5.0
+HEADER_OUTCOME = b'comfreywind-outcome'
+HEADER_REASON = b'comfreywind-reason'
+
+
+class ObservedApp:
+    """Passes requests on to an app and notes how each of them ended."""
+
+    def __init__(
+        self,
+        app: AsgiApp,
+        rules_view: RulesView,
+        recorder: ResultRecorder,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        """Use the given parts."""
+        self._app = app
+        self._rules_view = rules_view
+        self._recorder = recorder
+        self._metrics = metrics
+        self._clock = clock
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request and note its result."""
+        started_s = self._clock.read_monotonic_s()
+        seen_start: Message = {}
+        complete = False
+
+        async def observe_send(message: Message) -> None:
+            nonlocal complete
+            if message['type'] == 'http.response.start':
+                seen_start.update(message)
+            await send(message)
+            if message['type'] == 'http.response.body' and not message.get('more_body', False):
+                complete = True
+
+        try:
+            await self._app(scope, receive, observe_send)
+        finally:
+            if seen_start and SCOPE_QUEUE in scope:
+                duration_s = self._clock.read_monotonic_s() - started_s
+                self._note(_make_facts(scope, seen_start, duration_s, complete))
+
+    def _note(self, facts: RequestFacts) -> None:
+        result = classify_request(facts, self._find_latency_limit_s(facts.queue))
+        self._metrics.count(f'requests.{facts.queue}.{facts.reason or facts.outcome}')
+        self._metrics.record_duration(f'request_duration.{facts.queue}', facts.duration_s)
+        if result is not None:
+            self._recorder.add(facts.queue, facts.team, result)
+
+    def _find_latency_limit_s(self, queue: str) -> float:
+        rules = self._rules_view.rules
+        for objective in rules.objectives if rules else ():
+            if objective.queue == queue:
+                return objective.latency_s
+        return DEFAULT_LATENCY_LIMIT_S
+
+
+def _make_facts(scope: Scope, start: Message, duration_s: float, complete: bool) -> RequestFacts:
+    headers = start.get('headers', [])
+    return RequestFacts(
+        queue=scope[SCOPE_QUEUE],
+        team=scope.get(SCOPE_TEAM, ''),
+        status=start['status'],
+        outcome=find_header(headers, HEADER_OUTCOME),
+        reason=find_header(headers, HEADER_REASON),
+        duration_s=duration_s,
+        complete=complete,
+    )
--- a/comfreywind/entry/operator_app.py
+++ b/comfreywind/entry/operator_app.py
@@ -13,6 +13,8 @@
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.http.routes import HttpCall, find_route, make_route
+from comfreywind.report.burn_codec import encode_burn_report
+from comfreywind.report.burn_reporter import BurnReporter
 
 BODY_LIMIT_BYTES = 4_194_304
 BAD_REQUEST_ERRORS = (BodyMalformedError, BundleError, KeyError, ValueError)
@@ -30,6 +32,7 @@
         operations: Operations,
         rules_view: RulesView,
         fleet_view: FleetView,
+        burn_reporter: BurnReporter,
     ) -> None:
         """Use the given parts."""
         self._entry_name = entry_name
@@ -37,11 +40,13 @@
         self._operations = operations
         self._rules_view = rules_view
         self._fleet_view = fleet_view
+        self._burn_reporter = burn_reporter
         self._routes = [
             make_route('GET', '/v1/status', self._get_status),
             make_route('GET', '/v1/pools', self._get_pools),
             make_route('GET', '/v1/vms', self._get_vms),
             make_route('GET', '/v1/teams', self._get_teams),
+            make_route('GET', '/v1/report/burn', self._get_burn),
             make_route('POST', '/v1/bundles', self._post_bundle),
             make_route('POST', '/v1/bundles/{version}/sign-off', self._post_sign_off),
             make_route('POST', '/v1/bundles/{version}/roll-out', self._post_roll_out),
@@ -106,6 +111,11 @@
         ]
         await send_json(call.send, 200, {'teams': teams})
 
+    async def _get_burn(self, call: HttpCall) -> None:
+        rules = self._rules_view.rules
+        report = await self._burn_reporter.make_report(rules.objectives if rules else ())
+        await send_json(call.send, 200, encode_burn_report(report))
+
     async def _post_bundle(self, call: HttpCall) -> None:
         document = await read_json(call.receive, BODY_LIMIT_BYTES)
         version = int(document['version'])
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -11,6 +11,7 @@
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
+from comfreywind.entry.observed_app import ObservedApp
 from comfreywind.entry.operations import Operations
 from comfreywind.entry.operator_app import OperatorApp
 from comfreywind.entry.rules_view import RulesView
@@ -19,9 +20,13 @@
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
 from comfreywind.logs import configure_logs
+from comfreywind.metrics import make_metrics
 from comfreywind.platform.object_client import ObjectClient
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.vm_list_client import VmListClient
+from comfreywind.report.burn_reporter import BurnReporter
+from comfreywind.report.result_recorder import ResultRecorder
+from comfreywind.report.summary_store import SummaryStore
 from comfreywind.settings.entry import EntrySettings
 from comfreywind.signals import set_on_termination
 
@@ -47,23 +52,31 @@
     caller_app = CallerApp(
         rules_view, forwarder, clock, settings.body_limit_bytes, timings.default_deadline_s
     )
+    recorder = ResultRecorder(clock)
+    process_name = f'{settings.name}-{clock.read_utc():%Y%m%d%H%M%S%f}'
+    summaries = SummaryStore(tables, objects, process_name)
+    observed_app = ObservedApp(
+        caller_app, rules_view, recorder, make_metrics(settings.statsd_address), clock
+    )
     operator_app = OperatorApp(
         settings.name,
         settings.operator_token_sha256,
         Operations(tables, objects),
         rules_view,
         fleet_view,
+        BurnReporter(summaries, recorder, clock),
     )
     termination = trio.Event()
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(set_on_termination, termination)
         nursery.start_soon(feed.run, timings.feed_interval_s)
+        nursery.start_soon(summaries.run, recorder, timings.summary_interval_s)
         nursery.start_soon(
             poll_vm_list, VmListClient(client), fleet_view, timings.vm_list_interval_s
         )
         async with trio.open_nursery() as servers:
-            servers.start_soon(partial(serve_app, caller_app, settings.caller_address, shutdown))
+            servers.start_soon(partial(serve_app, observed_app, settings.caller_address, shutdown))
             servers.start_soon(
                 partial(serve_app, operator_app, settings.operator_address, shutdown)
             )
--- a/comfreywind/settings/timings.py
+++ b/comfreywind/settings/timings.py
@@ -22,4 +22,5 @@
     drain_notice_s: float = Field(default=2, ge=0)
     default_deadline_s: float = Field(default=30, gt=0)
     suspect_s: float = Field(default=10, gt=0)
+    summary_interval_s: float = Field(default=60, gt=0)
     claim_retention_s: float = Field(default=86400, gt=0)
