Connect the entries with peer streams

Each heartbeat echoes the addressee's last sending time. This replaces a reply to each heartbeat, which would have doubled the number of messages, and bounds the age of a report by the receiver's own clock: a process that was frozen finds old heartbeats in its buffers when it resumes.

HeartbeatSource collects the report; other parts add their load there. set_members adds peers from the members table.

--- /dev/null
+++ b/comfreywind/entry/heartbeat_source.py
@@ -0,0 +1,23 @@
+"""What this entry reports in its heartbeats."""
+
+from comfreywind.entry.rules_view import RulesView
+from comfreywind.peers.messages.heartbeat import Heartbeat
+
+
+class HeartbeatSource:
+    """Collects the report from the parts of the entry."""
+
+    def __init__(self, rules_view: RulesView) -> None:
+        """Report on the given parts."""
+        self._rules_view = rules_view
+
+    def make_heartbeat(self) -> Heartbeat:
+        """Return the report; the hub fills its times."""
+        rules = self._rules_view.rules
+        return Heartbeat(
+            sent_s=0,
+            bundle_version=rules.version if rules else 0,
+            sequence=self._rules_view.sequence,
+            store_age_s=self._rules_view.read_age_s(),
+            fresh=self._rules_view.is_fresh(),
+        )
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -4,13 +4,14 @@
 
 import trio
 
-from comfreywind.clock import SystemClock
+from comfreywind.clock import Clock, SystemClock
 from comfreywind.entry.caller_app import CallerApp
 from comfreywind.entry.dispatcher import Dispatcher
 from comfreywind.entry.even_split_units import EvenSplitUnits
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
+from comfreywind.entry.heartbeat_source import HeartbeatSource
 from comfreywind.entry.operations import Operations
 from comfreywind.entry.operator_app import OperatorApp
 from comfreywind.entry.rules_view import RulesView
@@ -19,6 +20,9 @@
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
 from comfreywind.logs import configure_logs
+from comfreywind.peers.peer_identity import PeerIdentity
+from comfreywind.peers.stream_hub import StreamHub
+from comfreywind.peers.stream_limits import StreamLimits
 from comfreywind.platform.object_client import ObjectClient
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.vm_list_client import VmListClient
@@ -26,6 +30,7 @@
 from comfreywind.signals import set_on_termination
 
 TARGET_CONNECTIONS = 64
+NANOSECONDS_PER_S = 1_000_000_000
 
 
 async def run_entry(settings: EntrySettings) -> None:
@@ -38,6 +43,8 @@
     objects = ObjectClient(client)
     rules_view = RulesView(clock, timings.fresh_s)
     fleet_view = FleetView()
+    hub = make_hub(settings, clock)
+    hub.set_heartbeat_source(HeartbeatSource(rules_view).make_heartbeat)
     feed = Feed(tables, objects, rules_view, fleet_view, clock)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
     dispatcher = Dispatcher(rules_view, fleet_view, units, clock)
@@ -58,6 +65,7 @@
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(set_on_termination, termination)
+        await nursery.start(hub.run)
         nursery.start_soon(feed.run, timings.feed_interval_s)
         nursery.start_soon(
             poll_vm_list, VmListClient(client), fleet_view, timings.vm_list_interval_s
@@ -72,3 +80,14 @@
             await trio.sleep(timings.drain_notice_s)
             shutdown.set()
         nursery.cancel_scope.cancel()
+
+
+def make_hub(settings: EntrySettings, clock: Clock) -> StreamHub:
+    """Return the hub of this process; its incarnation is the wall time in nanoseconds."""
+    incarnation = int(clock.read_utc().timestamp() * NANOSECONDS_PER_S)
+    timings = settings.timings
+    limits = StreamLimits(
+        timings.heartbeat_interval_s, timings.peer_silent_s, timings.connect_timeout_s
+    )
+    identity = PeerIdentity(settings.name, incarnation)
+    return StreamHub(identity, settings.peer_address, settings.peers, clock, limits)
--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -57,5 +57,11 @@
     """The store has no object of that name."""
 
 
+class ListenError(ComfreywindError):
+    """An address can't be listened on, for example because it is in use."""
+
+    exit_status = ExitStatus.LISTEN_ERROR
+
+
 class PeerError(ComfreywindError):
     """A peer stream failed or carried a frame that can't be read."""
--- a/comfreywind/exit_status.py
+++ b/comfreywind/exit_status.py
@@ -13,4 +13,5 @@
     BUNDLE_ERROR = 4
     UNREACHABLE = 5
     REFUSED = 6
+    LISTEN_ERROR = 7
     INTERRUPTED = 130
--- /dev/null
+++ b/comfreywind/peers/message_codec.py
@@ -0,0 +1,104 @@
+"""Messages as msgpack, validated when they arrive."""
+
+from dataclasses import fields
+from typing import Any
+
+import msgpack
+from pydantic import BaseModel, ConfigDict, ValidationError, create_model
+
+from comfreywind.errors import PeerError
+from comfreywind.peers.frame_reader import FRAME_HEADER, FRAME_LIMIT_BYTES
+from comfreywind.peers.peer_message import PeerMessage
+
+TYPE_FIELD = 'type'
+# One byte of msgpack can stand for an empty map of 64 bytes in memory, so maps and arrays are
+# counted to keep the memory that a frame costs near its length.
+CONTAINERS_LIMIT = 20_000
+ARRAY_LIMIT = 65_536
+DECODE_ERRORS = (ValueError, TypeError, msgpack.exceptions.UnpackException, UnicodeDecodeError)
+
+
+class MessageCodec:
+    """Encodes and decodes the message types that were added to it."""
+
+    def __init__(self) -> None:
+        """Start without message types."""
+        self._types: dict[str, type[PeerMessage]] = {}
+        self._models: dict[str, type[BaseModel]] = {}
+
+    def add_type(self, message_type: type[PeerMessage]) -> None:
+        """Let messages of the type be decoded; adding it again changes nothing."""
+        name = message_type.__name__
+        if name not in self._types:
+            self._types[name] = message_type
+            self._models[name] = _make_model(message_type)
+
+    def encode(self, message: PeerMessage) -> bytes:
+        """Return the frame of a message; raise PeerError when it is above the frame limit."""
+        document = {name: getattr(message, name) for name in _list_fields(type(message))}
+        document[TYPE_FIELD] = type(message).__name__
+        payload: bytes = msgpack.packb(document)
+        if len(payload) > FRAME_LIMIT_BYTES:
+            raise PeerError(f'a {type(message).__name__} of {len(payload)} bytes is too large')
+        return FRAME_HEADER.pack(len(payload)) + payload
+
+    def decode(self, payload: bytes) -> PeerMessage:
+        """Return the message in a frame; raise PeerError for anything else."""
+        document = _unpack(payload)
+        if not isinstance(document, dict):
+            raise PeerError('a frame holds no map')
+        name = document.pop(TYPE_FIELD, None)
+        message_type = self._types.get(name) if isinstance(name, str) else None
+        if message_type is None:
+            raise PeerError(f'message type {name!r:.80} is unknown')
+        try:
+            model = self._models[message_type.__name__].model_validate(document)
+        except ValidationError as error:
+            raise PeerError(f'a malformed {name}: {_describe(error)}') from error
+        return message_type(*(getattr(model, name) for name in _list_fields(message_type)))
+
+
+def _unpack(payload: bytes) -> Any:
+    count_container = _ContainerCounter()
+    try:
+        return msgpack.unpackb(
+            payload,
+            use_list=False,
+            max_array_len=ARRAY_LIMIT,
+            max_map_len=ARRAY_LIMIT,
+            max_ext_len=0,
+            object_hook=count_container,
+            list_hook=count_container,
+        )
+    except DECODE_ERRORS as error:
+        raise PeerError(f'a frame is no msgpack document: {error!r:.200}') from error
+
+
+class _ContainerCounter:
+    """Passes values through and raises ValueError when there are too many."""
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    def __call__(self, container: Any) -> Any:
+        """Count one map or array."""
+        self._count += 1
+        if self._count > CONTAINERS_LIMIT:
+            raise ValueError(f'more than {CONTAINERS_LIMIT} maps and arrays')
+        return container
+
+
+def _make_model(message_type: type[PeerMessage]) -> type[BaseModel]:
+    model_fields: dict[str, Any] = {field.name: (field.type, ...) for field in fields(message_type)}
+    model_config = ConfigDict(extra='forbid', strict=True)
+    return create_model(message_type.__name__, __config__=model_config, **model_fields)
+
+
+def _list_fields(message_type: type[PeerMessage]) -> list[str]:
+    return [field.name for field in fields(message_type)]
+
+
+def _describe(error: ValidationError) -> str:
+    first = error.errors(include_input=False, include_url=False)[0]
+    path = '.'.join(str(part) for part in first['loc'])
+    return f'{path}: {first["msg"]}'
--- a/comfreywind/peers/peer_hub.py
+++ b/comfreywind/peers/peer_hub.py
@@ -1,10 +1,12 @@
 """What the parts of an entry use to talk to other entries."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol, TypeVar
 
 from comfreywind.peers.peer_identity import PeerIdentity
 from comfreywind.peers.peer_message import PeerMessage
+from comfreywind.peers.peer_state import PeerState
+from comfreywind.settings.address import Address
 
 MessageType = TypeVar('MessageType', bound=PeerMessage)
 
@@ -19,8 +21,8 @@
     def send(self, peer_name: str, message: PeerMessage) -> bool:
         """Queue a message for a peer and return False when it was dropped."""
 
-    def broadcast(self, message: PeerMessage) -> None:
-        """Queue a message for every peer with a stream."""
+    def broadcast(self, message: PeerMessage, excluded: str = '') -> None:
+        """Queue a message for every peer with a stream but the one of the excluded name."""
 
     def subscribe(
         self,
@@ -31,3 +33,12 @@
 
     def list_alive(self) -> tuple[PeerIdentity, ...]:
         """Return the peers whose last heartbeat is recent."""
+
+    def list_states(self) -> tuple[PeerState, ...]:
+        """Return what is known about each peer that has introduced itself."""
+
+    def list_members(self) -> Mapping[str, Address]:
+        """Return name and peer address of the other members, alive or not."""
+
+    def set_members(self, members: Mapping[str, Address]) -> None:
+        """Take the members named by the table `members` and connect to the new ones."""
--- /dev/null
+++ b/tests/peers/test_stream_hub.py
@@ -0,0 +1,120 @@
+"""The hub over real sockets on loopback."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+import trio
+
+from bench.ports import PORTS
+from comfreywind.clock import SystemClock
+from comfreywind.errors import ListenError
+from comfreywind.peers.outbox import OUTBOX_LIMIT_BYTES, Outbox
+from comfreywind.peers.peer_identity import PeerIdentity
+from comfreywind.peers.peer_message import PeerMessage
+from comfreywind.peers.stream_hub import StreamHub
+from comfreywind.peers.stream_limits import StreamLimits
+from comfreywind.settings.address import Address
+
+LIMITS = StreamLimits(heartbeat_interval_s=0.05, silent_s=0.4, connect_timeout_s=0.5)
+
+
+@dataclass(frozen=True, slots=True)
+class Note(PeerMessage):
+    """A message of these tests."""
+
+    number: int
+    padding: bytes = b''
+
+
+def make_hub(name: str, address: Address, *peers: Address, incarnation: int = 1) -> StreamHub:
+    """Return a hub that knows the message type of these tests."""
+    hub = StreamHub(PeerIdentity(name, incarnation), address, peers, SystemClock(), LIMITS)
+    hub.subscribe(Note, lambda sender, note: None)
+    return hub
+
+
+def make_address() -> Address:
+    """Return a free address on loopback."""
+    return Address('127.0.0.1', PORTS.find_free())
+
+
+async def wait_for(condition: Callable[[], bool], timeout_s: float = 5) -> None:
+    """Return when the condition holds; raise TooSlowError when it does not in time."""
+    with trio.fail_after(timeout_s):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+def is_linked(hub: StreamHub, name: str) -> bool:
+    """Return whether streams in both directions work."""
+    return any(state.identity.name == name and state.asked_s > 0 for state in hub.list_states())
+
+
+async def test_messages_arrive_in_order(nursery: trio.Nursery) -> None:
+    """Guards against lost or reordered messages, and a peer that does not learn an unknown one."""
+    first, second = make_address(), make_address()
+    left = make_hub('left', first, second)
+    right = make_hub('right', second)
+    received: list[int] = []
+    left.subscribe(Note, lambda sender, note: received.append(note.number))
+    await nursery.start(left.run)
+    await nursery.start(right.run)
+    await wait_for(lambda: is_linked(left, 'right') and is_linked(right, 'left'))
+    for number in range(100):
+        assert right.send('left', Note(number))
+    right.broadcast(Note(100))
+    right.broadcast(Note(101), excluded='left')
+    await wait_for(lambda: len(received) >= 101)
+    assert received == list(range(101))
+    assert left.list_alive() == (PeerIdentity('right', 1),)
+
+
+async def test_restarted_peer_is_linked_again(nursery: trio.Nursery) -> None:
+    """Guards against a peer that stays unreachable after its process was replaced."""
+    first, second = make_address(), make_address()
+    left = make_hub('left', first, second)
+    await nursery.start(left.run)
+    async with trio.open_nursery() as old_process:
+        old_process.start_soon(make_hub('right', second, first).run)
+        await wait_for(lambda: is_linked(left, 'right'))
+        old_process.cancel_scope.cancel()
+    await wait_for(lambda: not left.list_alive())
+    new_right = make_hub('right', second, first, incarnation=2)
+    nursery.start_soon(new_right.run)
+    await wait_for(lambda: is_linked(new_right, 'left'))
+    await wait_for(lambda: left.list_alive() == (PeerIdentity('right', 2),))
+
+
+async def test_silent_peer_blocks_no_one(nursery: trio.Nursery) -> None:
+    """Guards against a frozen peer that makes memory grow or delays messages to others."""
+    frozen, first, second = make_address(), make_address(), make_address()
+    with socket.create_server((frozen.host, frozen.port)):
+        left = make_hub('left', first, frozen, second)
+        right = make_hub('right', second, first)
+        received: list[int] = []
+        right.subscribe(Note, lambda sender, note: received.append(note.number))
+        await nursery.start(left.run)
+        await nursery.start(right.run)
+        await wait_for(lambda: is_linked(left, 'right'))
+        for number in range(100):
+            left.broadcast(Note(number, bytes(100_000)))
+            await wait_for(lambda count=number: len(received) > count)
+        assert received == list(range(100))
+
+
+def test_outbox_is_bounded() -> None:
+    """Guards against frames that pile up for a peer which does not read."""
+    outbox = Outbox()
+    frame = bytes(100_000)
+    accepted = [outbox.put(frame) for _ in range(100)]
+    assert accepted.count(True) == OUTBOX_LIMIT_BYTES // len(frame)
+
+
+async def test_address_in_use() -> None:
+    """Guards against a traceback when the peer address is taken."""
+    address = make_address()
+    with socket.create_server((address.host, address.port)):
+        with pytest.raises(ListenError, match='in use'):
+            await make_hub('left', address).run()
