Pass versions and keys between entries and stay fresh without the store

The entry that wrote a roll-out or a key change pushes it to its peers, and each of them passes it on once. While the store can't be read, an entry takes what it lacks from its peers and is fresh only if a majority confirms its view in round trips of heartbeats. The decisions are pure functions in decisions/.

Whether a view covers another one is decided by digests and not by the table sequence, which each renewal of a member raises. VM rows and the VM list travel as well; without them an entry started during an outage has no target and an entry cut off from the store alone would keep using draining VMs.

Writes of operators carry a write id, so that a lost reply is settled by reading the row. Replies list which members have confirmed a change.

--- a/comfreywind/cli/bundle.py
+++ b/comfreywind/cli/bundle.py
@@ -5,7 +5,7 @@
 import click
 
 from comfreywind.bundle.parse import parse_bundle
-from comfreywind.cli.operator_client import call_operator
+from comfreywind.cli.operator_client import call_operator, describe_confirmations
 from comfreywind.cli.options import operator_options
 from comfreywind.environment import Environment
 from comfreywind.errors import BundleError
@@ -61,5 +61,5 @@
 @click.pass_obj
 def roll_out_bundle(env: Environment, version: int, entry_address: str, token: str) -> None:
     """Put a signed-off version into force."""
-    call_operator(entry_address, token, 'POST', f'/v1/bundles/{version}/roll-out')
-    env.print_line(f'version {version} accepted')
+    reply = call_operator(entry_address, token, 'POST', f'/v1/bundles/{version}/roll-out')
+    env.print_line(f'version {version} accepted; {describe_confirmations(reply)}')
--- a/comfreywind/cli/key.py
+++ b/comfreywind/cli/key.py
@@ -2,7 +2,7 @@
 
 import click
 
-from comfreywind.cli.operator_client import call_operator
+from comfreywind.cli.operator_client import call_operator, describe_confirmations
 from comfreywind.cli.options import operator_options
 from comfreywind.environment import Environment
 
@@ -28,5 +28,5 @@
 @click.pass_obj
 def withdraw_key(env: Environment, key_id: str, entry_address: str, token: str) -> None:
     """Withdraw a key."""
-    call_operator(entry_address, token, 'DELETE', f'/v1/keys/{key_id}')
-    env.print_line(f'key {key_id} withdrawn')
+    reply = call_operator(entry_address, token, 'DELETE', f'/v1/keys/{key_id}')
+    env.print_line(f'key {key_id} withdrawn; {describe_confirmations(reply)}')
--- a/comfreywind/cli/operator_client.py
+++ b/comfreywind/cli/operator_client.py
@@ -44,3 +44,10 @@
         error_type = ERROR_TYPES.get(reply.status, ComfreywindError)
         raise error_type(str(reply_document.get('error', f'status {reply.status}')))
     return reply_document
+
+
+def describe_confirmations(reply: Any) -> str:
+    """Return which other members have confirmed a change and which have not."""
+    confirmed = ', '.join(reply['confirmed']) or 'no other member'
+    unconfirmed = ', '.join(reply['unconfirmed']) or 'none'
+    return f'confirmed by {confirmed}; not confirmed: {unconfirmed}'
--- /dev/null
+++ b/comfreywind/decisions/set_digest.py
@@ -0,0 +1,21 @@
+"""Digest of a set of rows, updated row by row."""
+
+import hashlib
+
+DIGEST_BYTES = 8
+
+
+def exchange_row(digest: int, key: str, old_version: int, new_version: int) -> int:
+    """Return the digest after a row has changed its version; version 0 stands for no row.
+
+    The digest is the exclusive or of a 64-bit hash of each row's key and version, so it does not
+    depend on the order in which the rows arrived.
+    """
+    return digest ^ _hash_row(key, old_version) ^ _hash_row(key, new_version)
+
+
+def _hash_row(key: str, version: int) -> int:
+    if version == 0:
+        return 0
+    text = f'{version}:{key}'
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest())
--- a/comfreywind/entry/feed.py
+++ b/comfreywind/entry/feed.py
@@ -4,9 +4,10 @@
 
 import trio
 
-from comfreywind.bundle.parse import make_rules, parse_bundle
 from comfreywind.clock import Clock
 from comfreywind.decisions.keys import TeamKey
+from comfreywind.decisions.versions import is_newer_version
+from comfreywind.entry.bundle_loading import apply_offer, make_offer
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.errors import ComfreywindError, PlatformError
@@ -57,7 +58,7 @@
         self._rules_view.confirm(started_s)
 
     async def _apply_row(self, row: Row) -> None:
-        if row.table == TABLE_KEYS and row.value is not None:
+        if row.table == TABLE_KEYS:
             self._rules_view.apply_key(parse_key_row(row))
         elif row.table == TABLE_VMS:
             self._fleet_view.apply_vm_row(row)
@@ -65,23 +66,24 @@
             await self._load_bundle(row.value['version'], row.value['digest'])
 
     async def _load_bundle(self, version: int, digest: str) -> None:
+        self._rules_view.note_accepted(version)
+        if not is_newer_version(self._rules_view.read_version(), version):
+            return
         try:
             document = await self._objects.read(f'bundles-{digest}')
         except PlatformError:
             log.warning('bundle version %d is accepted but its content is not readable', version)
             raise
-        rules = make_rules(parse_bundle(document, f'bundle version {version}'), version)
-        if self._rules_view.apply_rules(rules):
-            log.info('bundle version %d is in force', version)
+        apply_offer(self._rules_view, make_offer(version, digest, document))
 
 
 def parse_key_row(row: Row) -> TeamKey:
-    """Return the key in a row of the table `keys`."""
+    """Return the key in a row of the table `keys`; a deleted row is a withdrawn key."""
     fields = row.value or {}
     return TeamKey(
         key_id=row.key,
-        team=fields['team'],
-        secret_sha256=fields['secret_sha256'],
-        withdrawn=fields['state'] == 'withdrawn',
+        team=fields.get('team', ''),
+        secret_sha256=fields.get('secret_sha256', ''),
+        withdrawn=fields.get('state') != 'granted',
         row_version=row.version,
     )
--- a/comfreywind/entry/fleet_view.py
+++ b/comfreywind/entry/fleet_view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from comfreywind.decisions.set_digest import exchange_row
 from comfreywind.platform.row import Row
 from comfreywind.platform.vm_entry import VmEntry
 
@@ -18,17 +19,27 @@
         """Start without any VM."""
         self._listed: dict[str, VmEntry] = {}
         self._rows: dict[str, Row] = {}
+        self.rows_digest = 0
 
     def apply_vm_list(self, vms: Iterable[VmEntry]) -> None:
         """Take a newer list from the platform."""
         self._listed = {vm.name: vm for vm in vms}
 
     def apply_vm_row(self, row: Row) -> None:
-        """Take a newer row of the table `vms`."""
-        if row.value is None:
-            self._rows.pop(row.key, None)
+        """Take a newer row of the table `vms`; an older version never replaces a newer one.
+
+        A deleted row is kept with its version, so that an older state of it is not taken again.
+        """
+        known = self._rows.get(row.key)
+        known_version = known.version if known else 0
+        if row.version <= known_version:
             return
         self._rows[row.key] = row
+        self.rows_digest = exchange_row(self.rows_digest, row.key, known_version, row.version)
+
+    def list_rows(self) -> list[Row]:
+        """Return all rows of the table `vms`, those of deleted rows with the value None."""
+        return list(self._rows.values())
 
     def list_vms(self) -> list[VmEntry]:
         """Return all VMs on the platform's list."""
@@ -36,11 +47,12 @@
 
     def read_row(self, name: str) -> Row | None:
         """Return the VM's row in the table `vms`, if it has one."""
-        return self._rows.get(name)
+        row = self._rows.get(name)
+        return None if row is None or row.value is None else row
 
     def find_pool(self, vm: VmEntry) -> str:
         """Return the pool that the VM belongs to."""
-        row = self._rows.get(vm.name)
+        row = self.read_row(vm.name)
         return vm.pool if row is None or row.value is None else str(row.value['pool'])
 
     def list_usable(self, pool: str) -> list[VmEntry]:
@@ -54,5 +66,5 @@
     def _takes_work(self, vm: VmEntry) -> bool:
         if vm.state != 'live':
             return False
-        row = self._rows.get(vm.name)
+        row = self.read_row(vm.name)
         return row is None or row.value is None or row.value['state'] == STATE_ACTIVE
--- a/comfreywind/entry/heartbeat_source.py
+++ b/comfreywind/entry/heartbeat_source.py
@@ -1,5 +1,6 @@
 """What this entry reports in its heartbeats."""
 
+from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.peers.messages.heartbeat import Heartbeat
 
@@ -7,17 +8,19 @@
 class HeartbeatSource:
     """Collects the report from the parts of the entry."""
 
-    def __init__(self, rules_view: RulesView) -> None:
+    def __init__(self, rules_view: RulesView, fleet_view: FleetView) -> None:
         """Report on the given parts."""
         self._rules_view = rules_view
+        self._fleet_view = fleet_view
 
     def make_heartbeat(self) -> Heartbeat:
         """Return the report; the hub fills its times."""
-        rules = self._rules_view.rules
         return Heartbeat(
             sent_s=0,
-            bundle_version=rules.version if rules else 0,
-            sequence=self._rules_view.sequence,
-            store_age_s=self._rules_view.read_age_s(),
+            bundle_version=self._rules_view.read_version(),
+            keys_digest=self._rules_view.keys_digest,
+            vms_digest=self._fleet_view.rows_digest,
+            sequence=self._rules_view.view_sequence,
+            store_age_s=self._rules_view.read_store_age_s(),
             fresh=self._rules_view.is_fresh(),
         )
--- /dev/null
+++ b/comfreywind/entry/member_status.py
@@ -0,0 +1,34 @@
+"""The other members as operators see them."""
+
+from comfreywind.clock import Clock
+from comfreywind.peers.peer_hub import PeerHub
+from comfreywind.peers.peer_state import PeerState
+
+
+class MemberStatus:
+    """Lists the members with what their last heartbeats reported."""
+
+    def __init__(self, hub: PeerHub, clock: Clock) -> None:
+        """Read from the hub."""
+        self._hub = hub
+        self._clock = clock
+
+    def list_members(self) -> list[dict[str, object]]:
+        """Return one document for each other member, sorted by name."""
+        states = {state.identity.name: state for state in self._hub.list_states()}
+        members = self._hub.list_members()
+        return [
+            {'name': name, 'address': str(address), **self._describe(states.get(name))}
+            for name, address in sorted(members.items())
+        ]
+
+    def _describe(self, state: PeerState | None) -> dict[str, object]:
+        if state is None or state.heartbeat is None:
+            return {'alive': False, 'bundle_version': None, 'fresh': None, 'heard_s_ago': None}
+        return {
+            'alive': state.identity in self._hub.list_alive(),
+            'incarnation': state.identity.incarnation,
+            'bundle_version': state.heartbeat.bundle_version,
+            'fresh': state.heartbeat.fresh,
+            'heard_s_ago': round(self._clock.read_monotonic_s() - state.heard_s, 3),
+        }
--- a/comfreywind/entry/operations.py
+++ b/comfreywind/entry/operations.py
@@ -5,11 +5,22 @@
 
 from comfreywind.bundle.digest import compute_digest
 from comfreywind.bundle.parse import parse_bundle
-from comfreywind.decisions.keys import NewKey, make_key
-from comfreywind.errors import ObjectExistsError, OperationRefusedError, RowConflictError
+from comfreywind.decisions.keys import NewKey, TeamKey, make_key
+from comfreywind.entry.bundle_loading import make_offer
+from comfreywind.entry.feed import parse_key_row
+from comfreywind.errors import (
+    BundleError,
+    ObjectExistsError,
+    ObjectMissingError,
+    OperationRefusedError,
+    RowConflictError,
+    StoreUnavailableError,
+)
+from comfreywind.peers.messages.bundle_offer import BundleOffer
 from comfreywind.platform.object_client import ObjectClient
 from comfreywind.platform.row import Row
-from comfreywind.platform.row_write import MISSING_VERSION, RowWrite
+from comfreywind.platform.row_write import MISSING_VERSION
+from comfreywind.platform.settled_write import commit_settled
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.table_names import ROW_BUNDLE, TABLE_BUNDLES, TABLE_CURRENT, TABLE_KEYS
 
@@ -17,6 +28,7 @@
 STATE_SIGNED_OFF = 'signed-off'
 STATE_GRANTED = 'granted'
 STATE_WITHDRAWN = 'withdrawn'
+CONTENT_ATTEMPTS = 3
 
 log = logging.getLogger('comfreywind.operations')
 
@@ -36,59 +48,78 @@
         """
         parse_bundle(document, f'bundle version {version}')
         digest = compute_digest(document)
-        try:
-            await self._objects.write_new(f'bundles-{digest}', document)
-        except ObjectExistsError:
-            log.info('the content of bundle version %d is stored already', version)
-        row_fields = {'digest': digest, 'state': STATE_CREATED}
-        write = RowWrite(TABLE_BUNDLES, str(version), MISSING_VERSION, row_fields)
-        await self._commit(write, f'bundle version {version} exists already')
+        await self._store_content(digest, document)
+        missing = Row(TABLE_BUNDLES, str(version), MISSING_VERSION, None)
+        fields = {'digest': digest, 'state': STATE_CREATED}
+        await self._commit(missing, fields, f'bundle version {version} exists already')
         return digest
 
     async def sign_off(self, version: int) -> None:
         """Mark a created version as signed off."""
         row = await self._read_version(version)
-        write = RowWrite(
-            TABLE_BUNDLES, row.key, row.version, {**_read_fields(row), 'state': STATE_SIGNED_OFF}
-        )
-        await self._commit(write, f'bundle version {version} was changed by someone else')
+        fields = {**_read_fields(row), 'state': STATE_SIGNED_OFF}
+        await self._commit(row, fields, f'bundle version {version} was changed by someone else')
+
+    async def roll_out(self, version: int) -> BundleOffer:
+        """Put a signed-off version into force and return it; only a higher one is accepted.
 
-    async def roll_out(self, version: int) -> None:
-        """Put a signed-off version into force; only a higher version is accepted."""
+        The content is read first, because a version without readable content would leave every
+        entry without fresh rules.
+        """
         row = await self._read_version(version)
         fields = _read_fields(row)
         if fields['state'] != STATE_SIGNED_OFF:
             raise OperationRefusedError(f'bundle version {version} is not signed off')
+        offer = await self._read_offer(version, fields['digest'])
         current = await self._tables.read_row(TABLE_CURRENT, ROW_BUNDLE)
         current_version = _read_fields(current)['version'] if current else 0
         if version <= current_version:
             raise OperationRefusedError(
                 f'bundle version {current_version} is in force and {version} is not higher'
             )
-        write = RowWrite(
-            TABLE_CURRENT,
-            ROW_BUNDLE,
-            current.version if current else MISSING_VERSION,
-            {'version': version, 'digest': fields['digest']},
-        )
-        await self._commit(write, 'another roll-out was faster')
-
-    async def grant_key(self, team: str) -> NewKey:
-        """Grant a new key to the team."""
+        old = current or Row(TABLE_CURRENT, ROW_BUNDLE, MISSING_VERSION, None)
+        current_fields = {'version': version, 'digest': fields['digest']}
+        await self._commit(old, current_fields, 'another roll-out was faster')
+        return offer
+
+    async def grant_key(self, team: str) -> tuple[NewKey, TeamKey]:
+        """Grant a new key to the team; return it with its secret and as it is stored."""
         key = make_key()
-        row_fields = {'team': team, 'secret_sha256': key.secret_sha256, 'state': STATE_GRANTED}
-        write = RowWrite(TABLE_KEYS, key.key_id, MISSING_VERSION, row_fields)
-        await self._commit(write, 'the new key id is taken')
-        return key
+        missing = Row(TABLE_KEYS, key.key_id, MISSING_VERSION, None)
+        fields = {'team': team, 'secret_sha256': key.secret_sha256, 'state': STATE_GRANTED}
+        row = await self._commit(missing, fields, 'the new key id is taken')
+        return key, parse_key_row(row)
 
-    async def withdraw_key(self, key_id: str) -> None:
-        """Withdraw a key; withdrawing it again changes nothing."""
+    async def withdraw_key(self, key_id: str) -> TeamKey:
+        """Withdraw a key and return its state; withdrawing it again changes nothing."""
         row = await self._tables.read_row(TABLE_KEYS, key_id)
         if row is None:
             raise OperationRefusedError(f'there is no key {key_id!r}')
+        if _read_fields(row)['state'] == STATE_WITHDRAWN:
+            return parse_key_row(row)
         fields = {**_read_fields(row), 'state': STATE_WITHDRAWN}
-        write = RowWrite(TABLE_KEYS, key_id, row.version, fields)
-        await self._commit(write, f'key {key_id} was changed by someone else')
+        new_row = await self._commit(row, fields, f'key {key_id} was changed by someone else')
+        return parse_key_row(new_row)
+
+    async def _store_content(self, digest: str, document: object) -> None:
+        for _ in range(CONTENT_ATTEMPTS):
+            try:
+                await self._objects.write_new(f'bundles-{digest}', document)
+            except ObjectExistsError:
+                return
+            except StoreUnavailableError as error:
+                log.info('the content %s is written again: %s', digest, error)
+            else:
+                return
+        raise StoreUnavailableError(f"the content {digest} can't be written")
+
+    async def _read_offer(self, version: int, digest: str) -> BundleOffer:
+        try:
+            return make_offer(version, digest, await self._objects.read(f'bundles-{digest}'))
+        except (ObjectMissingError, BundleError) as error:
+            raise OperationRefusedError(
+                f'the content of bundle version {version} is not in the object store: {error}'
+            ) from error
 
     async def _read_version(self, version: int) -> Row:
         row = await self._tables.read_row(TABLE_BUNDLES, str(version))
@@ -96,9 +127,9 @@
             raise OperationRefusedError(f'there is no bundle version {version}')
         return row
 
-    async def _commit(self, write: RowWrite, conflict_text: str) -> None:
+    async def _commit(self, old: Row, fields: dict[str, Any], conflict_text: str) -> Row:
         try:
-            await self._tables.commit([write])
+            return await commit_settled(self._tables, old, fields)
         except RowConflictError as error:
             raise OperationRefusedError(conflict_text) from error
 
--- a/comfreywind/entry/operator_app.py
+++ b/comfreywind/entry/operator_app.py
@@ -4,9 +4,12 @@
 import logging
 
 from comfreywind.decisions.keys import hash_secret
+from comfreywind.entry.confirmations import Confirmations
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.header_rules import find_header
+from comfreywind.entry.member_status import MemberStatus
 from comfreywind.entry.operations import Operations
+from comfreywind.entry.propagation import Propagation
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.errors import BundleError, OperationRefusedError, PlatformError
 from comfreywind.http.asgi_body import BodyMalformedError, read_json
@@ -30,6 +33,9 @@
         operations: Operations,
         rules_view: RulesView,
         fleet_view: FleetView,
+        propagation: Propagation,
+        confirmations: Confirmations,
+        member_status: MemberStatus,
     ) -> None:
         """Use the given parts."""
         self._entry_name = entry_name
@@ -37,6 +43,9 @@
         self._operations = operations
         self._rules_view = rules_view
         self._fleet_view = fleet_view
+        self._propagation = propagation
+        self._confirmations = confirmations
+        self._member_status = member_status
         self._routes = [
             make_route('GET', '/v1/status', self._get_status),
             make_route('GET', '/v1/pools', self._get_pools),
@@ -81,6 +90,7 @@
             'sequence': self._rules_view.sequence,
             'keys_count': len(self._rules_view.keys),
             'fresh': self._rules_view.is_fresh(),
+            'members': self._member_status.list_members(),
         }
         await send_json(call.send, 200, status)
 
@@ -119,17 +129,23 @@
 
     async def _post_roll_out(self, call: HttpCall) -> None:
         version = int(call.path_parts['version'])
-        await self._operations.roll_out(version)
-        await send_json(call.send, 200, {'version': version, 'state': 'accepted'})
+        offer = await self._operations.roll_out(version)
+        self._propagation.announce_bundle(offer)
+        lists = await self._confirmations.wait_for_bundle(version)
+        await send_json(call.send, 200, {'version': version, 'state': 'accepted', **lists})
 
     async def _post_key(self, call: HttpCall) -> None:
         document = await read_json(call.receive, BODY_LIMIT_BYTES)
-        key = await self._operations.grant_key(str(document['team']))
+        key, team_key = await self._operations.grant_key(str(document['team']))
+        self._propagation.announce_key(team_key)
         await send_json(call.send, 201, {'key_id': key.key_id, 'key': key.text})
 
     async def _delete_key(self, call: HttpCall) -> None:
-        await self._operations.withdraw_key(call.path_parts['key_id'])
-        await send_json(call.send, 200, {'key_id': call.path_parts['key_id'], 'state': 'withdrawn'})
+        key = await self._operations.withdraw_key(call.path_parts['key_id'])
+        self._propagation.announce_key(key)
+        lists = await self._confirmations.wait_for_keys()
+        reply = {'key_id': key.key_id, 'state': 'withdrawn', **lists}
+        await send_json(call.send, 200, reply)
 
     def _count_usable(self, pool: str) -> int:
         return len(self._fleet_view.list_usable(pool))
--- /dev/null
+++ b/comfreywind/entry/propagation.py
@@ -0,0 +1,220 @@
+"""Passes accepted versions and keys between entries and keeps the view fresh without the store."""
+
+import logging
+from dataclasses import asdict
+
+from comfreywind.clock import Clock
+from comfreywind.decisions.freshness import (
+    count_needed_reports,
+    find_confirmed_s,
+    list_view_sources,
+)
+from comfreywind.decisions.keys import TeamKey
+from comfreywind.decisions.own_view import OwnView
+from comfreywind.decisions.peer_report import PeerReport
+from comfreywind.decisions.view_mark import ViewMark
+from comfreywind.entry.bundle_loading import apply_offer
+from comfreywind.entry.fleet_view import FleetView
+from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.view_parts import make_view_parts, read_keys, read_rows, read_vms
+from comfreywind.errors import PeerError
+from comfreywind.peers.messages.bundle_offer import BundleOffer
+from comfreywind.peers.messages.heartbeat import Heartbeat
+from comfreywind.peers.messages.key_change import KeyChange
+from comfreywind.peers.messages.key_list import KeyList
+from comfreywind.peers.messages.view_request import ViewRequest
+from comfreywind.peers.messages.vm_list import VmList
+from comfreywind.peers.messages.vm_row_list import VmRowList
+from comfreywind.peers.peer_hub import PeerHub
+from comfreywind.peers.peer_identity import PeerIdentity
+from comfreywind.platform.row import Row
+from comfreywind.platform.table_names import TABLE_VMS
+from comfreywind.platform.vm_entry import VmEntry
+from comfreywind.settings.timings import Timings
+
+# Two polls of the change feed have failed when the last read is older than this many periods.
+MISSED_PERIODS = 2.5
+REQUEST_INTERVAL_S = 0.25
+VM_LIST_INTERVAL_S = 3.0
+MERGED_DIGESTS_LIMIT = 64
+
+log = logging.getLogger('comfreywind.propagation')
+
+
+class Propagation:
+    """Receives and sends what travels between entries besides the change feed."""
+
+    def __init__(
+        self,
+        hub: PeerHub,
+        rules_view: RulesView,
+        fleet_view: FleetView,
+        clock: Clock,
+        timings: Timings,
+        push: bool = True,
+    ) -> None:
+        """Subscribe to the messages; without `push`, changes travel by the change feed only."""
+        self._hub = hub
+        self._rules_view = rules_view
+        self._fleet_view = fleet_view
+        self._clock = clock
+        self._timings = timings
+        self._push = push
+        self._merged_keys: dict[int, None] = {}
+        self._merged_vms: dict[int, None] = {}
+        self._requested_s = float('-inf')
+        self._requests_count = 0
+        self._vm_list_requested_s = float('-inf')
+        self._incoming_vms: list[VmEntry] = []
+        hub.subscribe(BundleOffer, self._receive_offer)
+        hub.subscribe(KeyChange, self._receive_key)
+        hub.subscribe(ViewRequest, self._receive_request)
+        hub.subscribe(KeyList, self._receive_key_list)
+        hub.subscribe(VmRowList, self._receive_row_list)
+        hub.subscribe(VmList, self._receive_vm_list)
+        hub.subscribe(Heartbeat, self._receive_heartbeat)
+
+    def announce_bundle(self, offer: BundleOffer) -> None:
+        """Put a version that was just accepted into force here and tell the peers."""
+        apply_offer(self._rules_view, offer)
+        self._pass_on(offer)
+
+    def announce_key(self, key: TeamKey) -> None:
+        """Apply a key that was just granted or withdrawn and tell the peers."""
+        self._rules_view.apply_key(key)
+        self._pass_on(KeyChange(**asdict(key)))
+
+    def _pass_on(self, message: BundleOffer | KeyChange, sender: str = '') -> None:
+        if self._push:
+            self._hub.broadcast(message, excluded=sender)
+            self._hub.send_heartbeats()
+
+    def _receive_offer(self, sender: PeerIdentity, offer: BundleOffer) -> None:
+        if apply_offer(self._rules_view, offer):
+            log.info('%s has sent bundle version %d', sender.name, offer.version)
+            self._pass_on(offer, sender.name)
+
+    def _receive_key(self, sender: PeerIdentity, change: KeyChange) -> None:
+        if self._rules_view.apply_key(TeamKey(**asdict(change))):
+            self._pass_on(change, sender.name)
+
+    def _receive_request(self, sender: PeerIdentity, request: ViewRequest) -> None:
+        for part in make_view_parts(request, self._rules_view, self._fleet_view):
+            if not self._hub.send(sender.name, part):
+                return
+
+    def _receive_key_list(self, sender: PeerIdentity, message: KeyList) -> None:
+        for key in read_keys(message):
+            self._rules_view.apply_key(key)
+        _remember(self._merged_keys, message.keys_digest)
+
+    def _receive_row_list(self, sender: PeerIdentity, message: VmRowList) -> None:
+        for row in _read_rows(message):
+            self._fleet_view.apply_vm_row(row)
+        _remember(self._merged_vms, message.vms_digest)
+
+    def _receive_vm_list(self, sender: PeerIdentity, message: VmList) -> None:
+        if message.first:
+            self._incoming_vms = []
+        self._incoming_vms.extend(_read_vms(message))
+        if message.last and self._misses_store():
+            self._fleet_view.apply_vm_list(self._incoming_vms)
+
+    def _receive_heartbeat(self, sender: PeerIdentity, heartbeat: Heartbeat) -> None:
+        self._rules_view.note_accepted(heartbeat.bundle_version)
+        if self._misses_store():
+            self._update_by_peers(sender, heartbeat)
+
+    def _misses_store(self) -> bool:
+        limit_s = MISSED_PERIODS * self._timings.feed_interval_s
+        return self._rules_view.read_store_age_s() > limit_s
+
+    def _update_by_peers(self, sender: PeerIdentity, heartbeat: Heartbeat) -> None:
+        members = self._hub.list_members()
+        own = self._make_own_view()
+        reports = self._list_reports()
+        self._request_view(own, reports)
+        self._request_vm_list(sender, heartbeat)
+        if own.covers(_make_mark(heartbeat)):
+            self._raise_view_sequence(heartbeat)
+        confirmed_s = find_confirmed_s(
+            own,
+            reports,
+            count_needed_reports(len(members), self._rules_view.is_cold()),
+            self._clock.read_monotonic_s() - self._timings.fresh_s,
+        )
+        if confirmed_s is not None:
+            self._rules_view.confirm_by_peers(confirmed_s)
+
+    def _raise_view_sequence(self, heartbeat: Heartbeat) -> None:
+        self._rules_view.view_sequence = max(self._rules_view.view_sequence, heartbeat.sequence)
+
+    def _list_reports(self) -> list[PeerReport]:
+        members = self._hub.list_members()
+        return [
+            PeerReport(state.identity.name, state.asked_s, _make_mark(state.heartbeat))
+            for state in self._hub.list_states()
+            if state.heartbeat is not None and state.identity.name in members
+        ]
+
+    def _make_own_view(self) -> OwnView:
+        rules_view = self._rules_view
+        return OwnView(
+            ViewMark(
+                rules_view.read_version(), rules_view.keys_digest, self._fleet_view.rows_digest
+            ),
+            rules_view.accepted_version,
+            frozenset(self._merged_keys),
+            frozenset(self._merged_vms),
+        )
+
+    def _request_view(self, own: OwnView, reports: list[PeerReport]) -> None:
+        now_s = self._clock.read_monotonic_s()
+        sources = list_view_sources(own, reports)
+        if not sources or now_s - self._requested_s < REQUEST_INTERVAL_S:
+            return
+        self._requested_s = now_s
+        # Asks one peer after the other, because the first one may be frozen.
+        source = sources[self._requests_count % len(sources)]
+        self._requests_count += 1
+        self._send_request(source, wants_vm_list=False)
+
+    def _request_vm_list(self, sender: PeerIdentity, heartbeat: Heartbeat) -> None:
+        """Take the VM list from a peer that reads the platform, or from any when there is none."""
+        now_s = self._clock.read_monotonic_s()
+        reads_platform = heartbeat.store_age_s < MISSED_PERIODS * self._timings.feed_interval_s
+        useful = reads_platform or not self._fleet_view.list_vms()
+        if useful and now_s - self._vm_list_requested_s >= VM_LIST_INTERVAL_S:
+            self._vm_list_requested_s = now_s
+            self._send_request(sender.name, wants_vm_list=True)
+
+    def _send_request(self, peer_name: str, wants_vm_list: bool) -> None:
+        mark = self._make_own_view().mark
+        request = ViewRequest(mark.bundle_version, mark.keys_digest, mark.vms_digest, wants_vm_list)
+        self._hub.send(peer_name, request)
+
+
+def _make_mark(heartbeat: Heartbeat) -> ViewMark:
+    return ViewMark(heartbeat.bundle_version, heartbeat.keys_digest, heartbeat.vms_digest)
+
+
+def _remember(digests: dict[int, None], digest: int | None) -> None:
+    if digest is None:
+        return
+    digests[digest] = None
+    if len(digests) > MERGED_DIGESTS_LIMIT:
+        digests.pop(next(iter(digests)))
+
+
+def _read_rows(message: VmRowList) -> list[Row]:
+    try:
+        return list(read_rows(message, TABLE_VMS))
+    except ValueError as error:
+        raise PeerError(f'a malformed VmRowList: {error}') from error
+
+
+def _read_vms(message: VmList) -> list[VmEntry]:
+    try:
+        return list(read_vms(message))
+    except ValueError as error:
+        raise PeerError(f'a malformed VmList: {error}') from error
--- a/comfreywind/entry/rules_view.py
+++ b/comfreywind/entry/rules_view.py
@@ -1,47 +1,87 @@
-"""The rules, keys and VM rows that this entry knows of, and how fresh they are."""
+"""The rules and keys that this entry knows of, and how fresh they are."""
 
 from comfreywind.bundle.rules import Rules
 from comfreywind.clock import Clock
+from comfreywind.decisions.freshness import is_fresh
 from comfreywind.decisions.keys import TeamKey
+from comfreywind.decisions.set_digest import exchange_row
+from comfreywind.decisions.versions import is_newer_key, is_newer_version
+from comfreywind.peers.messages.bundle_offer import BundleOffer
 
 
 class RulesView:
-    """Holds the newest view; an older version never replaces a newer one."""
+    """Holds the newest view; an older version never replaces a newer one.
+
+    `sequence` is the sequence of the last read of the change feed. `view_sequence` is the sequence
+    up to which rules, keys and VM rows are known, from the store or from peers.
+    """
 
     def __init__(self, clock: Clock, fresh_s: float) -> None:
         """Start without rules."""
         self._clock = clock
         self._fresh_s = fresh_s
+        self._store_confirmed_s: float | None = None
         self._confirmed_s: float | None = None
         self.rules: Rules | None = None
+        self.offer: BundleOffer | None = None
+        self.accepted_version = 0
         self.keys: dict[str, TeamKey] = {}
+        self.keys_digest = 0
         self.sequence = 0
+        self.view_sequence = 0
+
+    def read_version(self) -> int:
+        """Return the bundle version in force, 0 before the first one."""
+        return self.rules.version if self.rules else 0
 
-    def apply_rules(self, rules: Rules) -> bool:
-        """Take rules of a higher version and return True; ignore all others."""
-        if self.rules is not None and rules.version <= self.rules.version:
+    def apply_rules(self, rules: Rules, offer: BundleOffer | None = None) -> bool:
+        """Take rules of a higher version, with their content, and return whether they are."""
+        if not is_newer_version(self.read_version(), rules.version):
             return False
         self.rules = rules
+        self.offer = offer
+        self.note_accepted(rules.version)
         return True
 
+    def note_accepted(self, version: int) -> None:
+        """Note that a version is accepted, even if its content is not known here."""
+        self.accepted_version = max(self.accepted_version, version)
+
     def apply_key(self, key: TeamKey) -> bool:
         """Take a key whose row version is higher than the one known and return True."""
         known_key = self.keys.get(key.key_id)
-        if known_key is not None and key.row_version <= known_key.row_version:
+        if not is_newer_key(known_key, key):
             return False
+        known_version = known_key.row_version if known_key else 0
+        self.keys_digest = exchange_row(
+            self.keys_digest, key.key_id, known_version, key.row_version
+        )
         self.keys[key.key_id] = key
         return True
 
     def confirm(self, at_s: float) -> None:
-        """Note that the view was complete at this monotonic time in seconds."""
+        """Note that the view was complete at this monotonic time, as read from the store."""
+        if self._store_confirmed_s is None or at_s > self._store_confirmed_s:
+            self._store_confirmed_s = at_s
+        self.view_sequence = max(self.view_sequence, self.sequence)
+        self.confirm_by_peers(at_s)
+
+    def confirm_by_peers(self, at_s: float) -> None:
+        """Note that the view was complete at this monotonic time, as confirmed by peers."""
         if self._confirmed_s is None or at_s > self._confirmed_s:
             self._confirmed_s = at_s
 
+    def is_cold(self) -> bool:
+        """Return whether the view has never been confirmed."""
+        return self._confirmed_s is None
+
+    def read_store_age_s(self) -> float:
+        """Return the age of the last read of the store, infinity before the first."""
+        return self._read_age_s(self._store_confirmed_s)
+
     def read_age_s(self) -> float:
         """Return the age of the view in seconds, infinity before the first confirmation."""
-        if self._confirmed_s is None:
-            return float('inf')
-        return self._clock.read_monotonic_s() - self._confirmed_s
+        return self._read_age_s(self._confirmed_s)
 
     def read_fresh_left_s(self) -> float:
         """Return for how many seconds the view stays fresh; negative when it is stale."""
@@ -49,4 +89,7 @@
 
     def is_fresh(self) -> bool:
         """Return whether the view may be served from."""
-        return self.read_fresh_left_s() >= 0
+        return is_fresh(self._clock.read_monotonic_s(), self._confirmed_s, self._fresh_s)
+
+    def _read_age_s(self, at_s: float | None) -> float:
+        return float('inf') if at_s is None else self._clock.read_monotonic_s() - at_s
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -6,14 +6,17 @@
 
 from comfreywind.clock import Clock, SystemClock
 from comfreywind.entry.caller_app import CallerApp
+from comfreywind.entry.confirmations import Confirmations
 from comfreywind.entry.dispatcher import Dispatcher
 from comfreywind.entry.even_split_units import EvenSplitUnits
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
 from comfreywind.entry.heartbeat_source import HeartbeatSource
+from comfreywind.entry.member_status import MemberStatus
 from comfreywind.entry.operations import Operations
 from comfreywind.entry.operator_app import OperatorApp
+from comfreywind.entry.propagation import Propagation
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.target_client import TargetClient
 from comfreywind.entry.vm_list_poller import poll_vm_list
@@ -44,7 +47,10 @@
     rules_view = RulesView(clock, timings.fresh_s)
     fleet_view = FleetView()
     hub = make_hub(settings, clock)
-    hub.set_heartbeat_source(HeartbeatSource(rules_view).make_heartbeat)
+    hub.set_heartbeat_source(HeartbeatSource(rules_view, fleet_view).make_heartbeat)
+    propagation = Propagation(
+        hub, rules_view, fleet_view, clock, timings, push=settings.push_changes
+    )
     feed = Feed(tables, objects, rules_view, fleet_view, clock)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
     dispatcher = Dispatcher(rules_view, fleet_view, units, clock)
@@ -60,6 +66,9 @@
         Operations(tables, objects),
         rules_view,
         fleet_view,
+        propagation,
+        Confirmations(hub, rules_view, clock, timings.confirm_wait_s),
+        MemberStatus(hub, clock),
     )
     termination = trio.Event()
     shutdown = trio.Event()
--- /dev/null
+++ b/comfreywind/entry/view_parts.py
@@ -0,0 +1,100 @@
+"""Cuts a view into messages for a peer that lacks parts of it."""
+
+import json
+from collections.abc import Iterator
+from itertools import islice
+from typing import TypeVar
+
+from comfreywind.decisions.keys import TeamKey
+from comfreywind.entry.fleet_view import FleetView
+from comfreywind.entry.rules_view import RulesView
+from comfreywind.peers.messages.key_list import KeyList
+from comfreywind.peers.messages.view_request import ViewRequest
+from comfreywind.peers.messages.vm_list import VmList
+from comfreywind.peers.messages.vm_row_list import VmRowList
+from comfreywind.peers.peer_message import PeerMessage
+from comfreywind.platform.row import Row
+from comfreywind.platform.vm_entry import VmEntry
+from comfreywind.settings.address import parse_address
+
+# Keeps a message below 1 MiB with rows of about 250 bytes.
+ROWS_PER_MESSAGE = 4_000
+RowType = TypeVar('RowType')
+
+
+def make_view_parts(
+    request: ViewRequest, rules_view: RulesView, fleet_view: FleetView
+) -> Iterator[PeerMessage]:
+    """Yield what the asking peer lacks or wants."""
+    offer = rules_view.offer
+    if offer is not None and offer.version > request.bundle_version:
+        yield offer
+    if request.keys_digest != rules_view.keys_digest:
+        yield from _make_key_lists(rules_view)
+    if request.vms_digest != fleet_view.rows_digest:
+        yield from _make_row_lists(fleet_view)
+    if request.wants_vm_list:
+        yield from _make_vm_lists(fleet_view)
+
+
+def read_keys(message: KeyList) -> Iterator[TeamKey]:
+    """Yield the keys in a part."""
+    return (TeamKey(*fields) for fields in message.keys)
+
+
+def read_rows(message: VmRowList, table: str) -> Iterator[Row]:
+    """Yield the rows in a part; raise ValueError for a value that is not JSON."""
+    for key, version, value_text in message.rows:
+        yield Row(table, key, version, json.loads(value_text))
+
+
+def read_vms(message: VmList) -> Iterator[VmEntry]:
+    """Yield the VMs in a part; raise ValueError for a malformed address."""
+    for name, address, data_centre, rack, pool, state, incarnation in message.vms:
+        yield VmEntry(
+            name=name,
+            address=parse_address(address),
+            data_centre=data_centre,
+            rack=rack,
+            pool=pool,
+            state='leaving' if state == 'leaving' else 'live',
+            incarnation=incarnation,
+        )
+
+
+def _make_key_lists(rules_view: RulesView) -> Iterator[KeyList]:
+    rows = [
+        (key.key_id, key.team, key.secret_sha256, key.withdrawn, key.row_version)
+        for key in rules_view.keys.values()
+    ]
+    for part, last in _cut(rows):
+        yield KeyList(part, rules_view.keys_digest if last else None)
+
+
+def _make_row_lists(fleet_view: FleetView) -> Iterator[VmRowList]:
+    rows = [(row.key, row.version, json.dumps(row.value)) for row in fleet_view.list_rows()]
+    for part, last in _cut(rows):
+        yield VmRowList(part, fleet_view.rows_digest if last else None)
+
+
+def _make_vm_lists(fleet_view: FleetView) -> Iterator[VmList]:
+    rows = [
+        (vm.name, str(vm.address), vm.data_centre, vm.rack, vm.pool, vm.state, vm.incarnation)
+        for vm in fleet_view.list_vms()
+    ]
+    first = True
+    for part, last in _cut(rows):
+        yield VmList(part, first, last)
+        first = False
+
+
+def _cut(rows: list[RowType]) -> Iterator[tuple[tuple[RowType, ...], bool]]:
+    """Yield parts of bounded length, each with whether it is the last; at least one part."""
+    remaining = iter(rows)
+    part = tuple(islice(remaining, ROWS_PER_MESSAGE))
+    while True:
+        next_part = tuple(islice(remaining, ROWS_PER_MESSAGE))
+        yield part, not next_part
+        if not next_part:
+            return
+        part = next_part
--- a/comfreywind/peers/messages/heartbeat.py
+++ b/comfreywind/peers/messages/heartbeat.py
@@ -21,6 +21,7 @@
     echo_incarnation: int = 0
     bundle_version: int = 0
     keys_digest: int = 0
+    vms_digest: int = 0
     sequence: int = 0
     store_age_s: float = float('inf')
     fresh: bool = False
--- a/comfreywind/peers/peer_hub.py
+++ b/comfreywind/peers/peer_hub.py
@@ -42,3 +42,6 @@
 
     def set_members(self, members: Mapping[str, Address]) -> None:
         """Take the members named by the table `members` and connect to the new ones."""
+
+    def send_heartbeats(self) -> None:
+        """Report to all peers now, because something that they wait for has changed."""
--- a/comfreywind/peers/stream_hub.py
+++ b/comfreywind/peers/stream_hub.py
@@ -138,7 +138,18 @@
                 nursery.start_soon(link.run)
             nursery.start_soon(trio.serve_listeners, self._serve_stream, [listener])
             task_status.started()
-            await self._send_heartbeats()
+            while True:
+                self._forget_peers()
+                self.send_heartbeats()
+                await trio.sleep(self._limits.heartbeat_interval_s)
+
+    def send_heartbeats(self) -> None:
+        """Report to all peers with a stream."""
+        report = self._make_heartbeat()
+        states = {state.address: state for state in self._states.values()}
+        for address, link in self._links.items():
+            if link.is_open:
+                link.put(self._encode_heartbeat(report, states.get(address)))
 
     def accept_hello(
         self, hello: Hello, remote_host: str, stream_scope: trio.CancelScope
@@ -205,16 +216,6 @@
         finally:
             self._incoming_count -= 1
 
-    async def _send_heartbeats(self) -> None:
-        while True:
-            self._forget_peers()
-            report = self._make_heartbeat()
-            states = {state.address: state for state in self._states.values()}
-            for address, link in self._links.items():
-                if link.is_open:
-                    link.put(self._encode_heartbeat(report, states.get(address)))
-            await trio.sleep(self._limits.heartbeat_interval_s)
-
     def _encode_heartbeat(self, report: Heartbeat, state: PeerState | None) -> bytes:
         heard = state.heartbeat if state else None
         heartbeat = replace(
--- a/comfreywind/settings/entry.py
+++ b/comfreywind/settings/entry.py
@@ -26,4 +26,5 @@
     log_format: LogFormat = 'human'
     body_limit_bytes: int = Field(default=1_048_576, gt=0)
     buffer_limit_bytes: int = Field(default=65_536, ge=0)
+    push_changes: bool = True
     timings: Timings = Timings()
--- a/comfreywind/settings/timings.py
+++ b/comfreywind/settings/timings.py
@@ -19,6 +19,7 @@
     platform_timeout_s: float = Field(default=2, gt=0)
     silent_probe_s: float = Field(default=1, gt=0)
     connect_timeout_s: float = Field(default=1, gt=0)
+    confirm_wait_s: float = Field(default=2, ge=0)
     drain_notice_s: float = Field(default=2, ge=0)
     default_deadline_s: float = Field(default=30, gt=0)
     suspect_s: float = Field(default=10, gt=0)
