Start waiting requests by events and fair shares

The dispatcher polled every 10 ms for each waiting request, served them in no order, and failed a request when its target had no free slot.

Requests now wait in lanes per pool and team and are started by events: an arrival, an end, new units, a changed fleet, new rules, and the peers' loads, which entries exchange in a LoadReport. Each entry divides every pool by weighted max-min fair shares among teams, then among entries by demand. A request that its target has not run waits again at the front of its queue.

UnitSource gains subscribe(), by which the dispatcher learns of new units.

--- /dev/null
+++ b/comfreywind/decisions/pool_plan.py
@@ -0,0 +1,110 @@
+"""Divides the slots of a pool among teams and entries."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from comfreywind.bundle.rules import TeamRules
+from comfreywind.decisions.fair_share import ShareClaim, compute_fair_shares
+from comfreywind.decisions.team_load import TeamLoad
+
+LoadsByTeam = Mapping[str, TeamLoad]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPlan:
+    """What this entry derives from the loads of all entries.
+
+    `entitlements` is each team's part of the pool in slots, `quotas` this entry's part of each
+    entitlement. `newcomer_quota` is the quota for each unit of weight of a team that had no demand
+    when the plan was made. `urgent_running` counts running urgent requests of all entries.
+    """
+
+    entitlements: dict[str, float] = field(default_factory=dict)
+    quotas: dict[str, float] = field(default_factory=dict)
+    quota: float = 0
+    newcomer_quota: float = 1
+    urgent_running: dict[str, int] = field(default_factory=dict)
+    urgent_ready_at_peers: int = 0
+    peers_below_quota: bool = False
+
+
+def make_pool_plan(
+    own_loads: LoadsByTeam,
+    peer_loads: Mapping[str, LoadsByTeam],
+    teams: Mapping[str, TeamRules],
+    capacity: float,
+) -> PoolPlan:
+    """Return the plan for one pool with `capacity` slots.
+
+    Every entry makes it from the same reports, so that the quotas of all entries sum up to the
+    capacity as far as the reports are current.
+    """
+    loads = {'': own_loads, **peer_loads}
+    claims = _make_claims(loads, teams)
+    entitlements = compute_fair_shares(capacity, claims)
+    quotas_by_entry = _split_entitlements(entitlements, loads)
+    total_weight = sum(team.weight for team in teams.values()) or 1
+    return PoolPlan(
+        entitlements=entitlements,
+        quotas=quotas_by_entry[''],
+        quota=sum(quotas_by_entry[''].values()),
+        newcomer_quota=max(capacity, 1) / (total_weight * len(loads)),
+        urgent_running=_sum_urgent_running(loads),
+        urgent_ready_at_peers=_sum_urgent_ready(peer_loads),
+        peers_below_quota=any(
+            _is_below_quota(team_loads, quotas_by_entry[entry])
+            for entry, team_loads in peer_loads.items()
+        ),
+    )
+
+
+def _make_claims(
+    loads: Mapping[str, LoadsByTeam], teams: Mapping[str, TeamRules]
+) -> dict[str, ShareClaim]:
+    demands: dict[str, int] = {}
+    for team_loads in loads.values():
+        for name, load in team_loads.items():
+            demands[name] = demands.get(name, 0) + load.demand
+    return {
+        name: ShareClaim(teams[name].weight, min(demand, teams[name].ceiling_units))
+        for name, demand in demands.items()
+        if name in teams
+    }
+
+
+def _split_entitlements(
+    entitlements: Mapping[str, float], loads: Mapping[str, LoadsByTeam]
+) -> dict[str, dict[str, float]]:
+    quotas: dict[str, dict[str, float]] = {entry: {} for entry in loads}
+    for team, entitlement in entitlements.items():
+        claims = {
+            entry: ShareClaim(1, team_loads[team].demand)
+            for entry, team_loads in loads.items()
+            if team in team_loads
+        }
+        for entry, quota in compute_fair_shares(entitlement, claims).items():
+            quotas[entry][team] = quota
+    return quotas
+
+
+def _sum_urgent_running(loads: Mapping[str, LoadsByTeam]) -> dict[str, int]:
+    totals: dict[str, int] = {}
+    for team_loads in loads.values():
+        for name, load in team_loads.items():
+            totals[name] = totals.get(name, 0) + load.urgent_running
+    return totals
+
+
+def _sum_urgent_ready(loads: Mapping[str, LoadsByTeam]) -> int:
+    return sum(load.urgent_ready for team_loads in loads.values() for load in team_loads.values())
+
+
+def _is_below_quota(team_loads: LoadsByTeam, quotas: Mapping[str, float]) -> bool:
+    """Return whether the entry has work waiting and room for a whole request in its quota."""
+    running = sum(load.running for load in team_loads.values())
+    if running + 1 > sum(quotas.values()):
+        return False
+    return any(
+        load.waiting > 0 and load.running + 1 <= quotas.get(name, 0)
+        for name, load in team_loads.items()
+    )
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -1,82 +1,310 @@
 """Gives waiting requests a unit of their team and a place at a target."""
 
+import enum
+import itertools
 import random
-from collections import Counter
+from collections.abc import Mapping
 
 import trio
 
 from comfreywind.clock import Clock
 from comfreywind.decisions.refusal import Refusal, RefusalReason
+from comfreywind.decisions.service_time import can_meet_deadline, estimate_wait_s
+from comfreywind.entry.dispatch_policy import DispatchPolicy, SharesPolicy
 from comfreywind.entry.fleet_view import FleetView
+from comfreywind.entry.load_sums import read_peer_loads, sum_outstanding
 from comfreywind.entry.placement import Placement
+from comfreywind.entry.pool_queue import PoolQueue
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.target_pool import TargetPool
+from comfreywind.entry.team_queue import TeamQueue
 from comfreywind.entry.ticket import Ticket
+from comfreywind.entry.unit_demand import UnitDemand
 from comfreywind.entry.unit_source import UnitSource
+from comfreywind.entry.waiter import Waiter
+from comfreywind.peers.messages.load_report import LoadReport
+from comfreywind.platform.vm_entry import VmEntry
 
 RETRY_AFTER_S = 1.0
-POLL_INTERVAL_S = 0.01
+# A target that stated that it is full is not asked again for one period of the load reports.
+FULL_MARK_S = 0.25
+# Requests behind the first one that are looked at when the first excludes all targets with room.
+LOOK_AHEAD = 4
+SLOTS_UNKNOWN = 0
+
+
+class StartResult(enum.Enum):
+    """What came of the attempt to start a team's next request."""
+
+    PROGRESS = 'progress'
+    TEAM_BLOCKED = 'team-blocked'
+    NO_ROOM = 'no-room'
 
 
 class Dispatcher:
-    """Places tickets; a ticket waits in its queue until its deadline."""
+    """Places tickets; a ticket waits in its queue until its deadline.
+
+    Nothing polls: requests are started when one arrives, a request ends, units arrive, the fleet or
+    the rules change, and when new loads of the peers are taken.
+    """
 
     def __init__(
-        self, rules_view: RulesView, fleet_view: FleetView, units: UnitSource, clock: Clock
+        self,
+        rules_view: RulesView,
+        fleet_view: FleetView,
+        units: UnitSource,
+        clock: Clock,
+        policy: DispatchPolicy | None = None,
+        data_centre: str = '',
+        generator: random.Random | None = None,
     ) -> None:
-        """Start with nothing waiting."""
+        """Start with nothing waiting and follow the views and the units."""
         self._rules_view = rules_view
         self._fleet_view = fleet_view
         self._units = units
         self._clock = clock
-        self._waiting: Counter[tuple[str, str]] = Counter()
-        self._outstanding: Counter[str] = Counter()
+        self._policy = policy or SharesPolicy()
+        self._data_centre = data_centre
+        self._generator = generator or random.Random()
+        self._numbers = itertools.count(1)
+        self._pools: dict[str, PoolQueue] = {}
+        self._unit_demand = UnitDemand(units)
+        fleet_view.subscribe(self.refresh_fleet)
+        rules_view.subscribe(self.refresh_fleet)
+        units.subscribe(self.wake_team)
 
     async def acquire(self, ticket: Ticket) -> Placement:
         """Return a place at a target; raise RefusalError when there is none in time."""
-        queue_key = (ticket.queue.name, ticket.team)
-        if self._waiting[queue_key] >= ticket.queue.queue_limit:
-            raise RefusalError(
-                Refusal(RefusalReason.QUEUE_FULL, 'too many wait', retry_after_s=RETRY_AFTER_S)
-            )
-        self._waiting[queue_key] += 1
-        try:
-            return await self._wait_for_place(ticket)
-        finally:
-            self._waiting[queue_key] -= 1
+        pool = self._find_pool(ticket.queue.pool)
+        refusal = self._find_refusal(pool, ticket)
+        if refusal is not None:
+            raise RefusalError(refusal)
+        return await self._wait_for_place(pool, Waiter(ticket, next(self._numbers)))
+
+    async def reacquire(self, ticket: Ticket, placement: Placement) -> Placement:
+        """Return another place for a request that the target of `placement` has not run.
+
+        The placement is given back, its target counts as full for a moment, and the request waits
+        at the front of its queue. Raises RefusalError when there is no place in time.
+        """
+        pool = self._find_pool(placement.pool)
+        pool.undo_start(placement, self._clock.read_monotonic_s() + FULL_MARK_S)
+        self._return_unit(placement)
+        if not pool.targets.has_allowed(ticket.excluded_targets):
+            raise RefusalError(_refuse(RefusalReason.NO_TARGET, 'no other target is available'))
+        waiter = Waiter(ticket, -next(self._numbers))
+        return await self._wait_for_place(pool, waiter, at_front=True)
 
     def release(self, placement: Placement) -> None:
         """Return the unit and the slot of a request that has ended."""
-        self._units.give_back(placement.team)
-        self._outstanding[placement.target.name] -= 1
-
-    async def _wait_for_place(self, ticket: Ticket) -> Placement:
-        while self._clock.read_monotonic_s() < ticket.deadline_s:
-            placement = self._try_place(ticket)
-            if placement is not None:
-                return placement
-            await trio.sleep(POLL_INTERVAL_S)
-        raise RefusalError(
-            Refusal(
-                RefusalReason.DEADLINE_IN_QUEUE,
-                'the deadline passed while the request waited',
-                retry_after_s=RETRY_AFTER_S,
-            )
-        )
+        pool = self._find_pool(placement.pool)
+        pool.note_finish(placement, self._clock.read_monotonic_s())
+        self._return_unit(placement)
+        self._start_waiting(pool)
+
+    def wake_team(self, team: str) -> None:
+        """Start what waits for a unit of the team."""
+        pool_names = self._unit_demand.pop_pools(team)
+        for pool_name in pool_names:
+            pool = self._pools[pool_name]
+            pool.mark_unit_available(team)
+            self._start_waiting(pool)
+        if pool_names:
+            self._unit_demand.settle(team)
+
+    def refresh_fleet(self) -> None:
+        """Take the usable VMs and the rules from their views."""
+        groups = self._fleet_view.group_usable()
+        for name, pool in self._pools.items():
+            pool.targets.replace_vms(groups.get(name, ()), self._read_slots(name))
+        self._start_all()
+
+    def make_report(self) -> LoadReport:
+        """Return the load of this entry for its peers."""
+        loads = {name: pool.make_loads() for name, pool in self._pools.items()}
+        outstanding: dict[str, int] = {}
+        for pool in self._pools.values():
+            outstanding.update(pool.targets.own_outstanding)
+        return LoadReport({name: teams for name, teams in loads.items() if teams}, outstanding)
 
-    def _try_place(self, ticket: Ticket) -> Placement | None:
+    def apply_reports(self, reports: Mapping[str, LoadReport]) -> None:
+        """Take the recent reports of all peers and divide the pools anew."""
         rules = self._rules_view.rules
-        if rules is None:
-            return None
-        slots = rules.pools[ticket.queue.pool].slots_per_vm
-        candidates = [
-            vm
-            for vm in self._fleet_view.list_usable(ticket.queue.pool)
-            if self._outstanding[vm.name] < slots and vm.name not in ticket.excluded_targets
-        ]
-        if not candidates or not self._units.try_take(ticket.team):
+        team_rules = rules.teams if rules else {}
+        outstanding = sum_outstanding(reports)
+        now_s = self._clock.read_monotonic_s()
+        for name, pool in self._pools.items():
+            pool.targets.expire_marks(now_s)
+            pool.targets.replace_peer_loads(outstanding)
+            keeps_reserve = self._policy.keeps_reserve and self._has_urgent(name)
+            pool.renew_plan(read_peer_loads(reports, name), team_rules, keeps_reserve, now_s)
+        self._start_all()
+
+    async def _wait_for_place(
+        self, pool: PoolQueue, waiter: Waiter, at_front: bool = False
+    ) -> Placement:
+        self._enqueue(pool, waiter, at_front)
+        if waiter.placement is None and not waiter.refused:
+            await self._sleep_until_placed(pool, waiter)
+        if waiter.placement is not None:
+            return waiter.placement
+        raise RefusalError(_refuse_waiting(pool))
+
+    async def _sleep_until_placed(self, pool: PoolQueue, waiter: Waiter) -> None:
+        """Sleep; a deadline or a cancellation takes the request out of its queue at once."""
+
+        def leave_queue(_raise_cancel: object) -> trio.lowlevel.Abort:
+            self._dequeue(pool, waiter)
+            return trio.lowlevel.Abort.SUCCEEDED
+
+        waiter.task = trio.lowlevel.current_task()
+        left_s = waiter.ticket.deadline_s - self._clock.read_monotonic_s()
+        with trio.move_on_after(max(0, left_s)):
+            await trio.lowlevel.wait_task_rescheduled(leave_queue)
+
+    def _enqueue(self, pool: PoolQueue, waiter: Waiter, at_front: bool) -> None:
+        pool.add(waiter, at_front)
+        self._unit_demand.add_waiting(waiter.ticket.team, 1)
+        self._start_waiting(pool)
+
+    def _dequeue(self, pool: PoolQueue, waiter: Waiter) -> None:
+        if pool.remove(waiter):
+            self._unit_demand.add_waiting(waiter.ticket.team, -1)
+
+    def _find_refusal(self, pool: PoolQueue, ticket: Ticket) -> Refusal | None:
+        team = pool.find_team(ticket.team)
+        if team.count_waiting(ticket.queue.name) >= ticket.queue.queue_limit:
+            return _refuse(RefusalReason.QUEUE_FULL, 'too many wait')
+        if self._read_ceiling(ticket.team) == 0:
+            return _refuse(RefusalReason.CEILING_REACHED, 'the ceiling of the team is 0')
+        if ticket.excluded_targets and not pool.targets.has_allowed(ticket.excluded_targets):
+            return _refuse(RefusalReason.NO_TARGET, 'no other target is available')
+        return self._find_early_refusal(team, ticket) if self._policy.refuses_early else None
+
+    def _find_early_refusal(self, team: TeamQueue, ticket: Ticket) -> Refusal | None:
+        now_s = self._clock.read_monotonic_s()
+        service = team.read_service(now_s)
+        ahead = len(team.urgent) if ticket.queue.urgent else team.waiting
+        wait_s = estimate_wait_s(service, ahead, max(team.quota, team.running))
+        left_s = ticket.deadline_s - now_s
+        if can_meet_deadline(service, wait_s, left_s):
             return None
-        pair = random.sample(candidates, min(2, len(candidates)))
-        target = min(pair, key=lambda vm: self._outstanding[vm.name])
-        self._outstanding[target.name] += 1
-        return Placement(target, ticket.team, ticket.queue.pool)
+        return Refusal(
+            RefusalReason.DEADLINE_IN_QUEUE,
+            f'{left_s:.3f} s are left, the wait is about {wait_s:.3f} s and a run takes '
+            f'{service.mean_s:.3f} s',
+            retry_after_s=max(RETRY_AFTER_S, wait_s),
+        )
+
+    def _start_all(self) -> None:
+        for team in self._unit_demand.list_lacking():
+            self.wake_team(team)
+        for pool in self._pools.values():
+            self._start_waiting(pool)
+
+    def _start_waiting(self, pool: PoolQueue) -> None:
+        progress = True
+        while progress and pool.targets.has_open:
+            progress = self._start_next(pool)
+
+    def _start_next(self, pool: PoolQueue) -> bool:
+        """Start one request or refuse a late one; return False when nothing can start now."""
+        candidates = list(pool.list_candidates())
+        while candidates:
+            team = self._policy.choose_team(candidates)
+            if team is None:
+                return False
+            start_result = self._try_start(pool, team)
+            if start_result is not StartResult.TEAM_BLOCKED:
+                return start_result is StartResult.PROGRESS
+            candidates.remove(team)
+        return False
+
+    def _try_start(self, pool: PoolQueue, team: TeamQueue) -> StartResult:
+        lane = self._policy.choose_lane(team)
+        urgent_first = lane is team.urgent and team.urgent_first
+        for waiter in lane.peek(LOOK_AHEAD):
+            if self._is_too_late(team, waiter):
+                return self._refuse_late(pool, waiter)
+            excluded = waiter.ticket.excluded_targets
+            target = self._policy.choose_target(pool, urgent_first, excluded)
+            if target is not None:
+                return self._take_unit_and_start(pool, team, waiter, target)
+            if not excluded:
+                return StartResult.NO_ROOM
+        return StartResult.TEAM_BLOCKED
+
+    def _is_too_late(self, team: TeamQueue, waiter: Waiter) -> bool:
+        now_s = self._clock.read_monotonic_s()
+        left_s = waiter.ticket.deadline_s - now_s
+        if not self._policy.refuses_early:
+            return left_s <= 0
+        return not can_meet_deadline(team.read_service(now_s), 0, left_s)
+
+    def _refuse_late(self, pool: PoolQueue, waiter: Waiter) -> StartResult:
+        self._dequeue(pool, waiter)
+        waiter.refused = True
+        _wake_task(waiter)
+        return StartResult.PROGRESS
+
+    def _take_unit_and_start(
+        self, pool: PoolQueue, team: TeamQueue, waiter: Waiter, target: VmEntry
+    ) -> StartResult:
+        ticket = waiter.ticket
+        if not self._units.try_take(ticket.team):
+            team.lacks_unit = True
+            self._unit_demand.add_pool(ticket.team, ticket.queue.pool)
+            return StartResult.TEAM_BLOCKED
+        self._dequeue(pool, waiter)
+        pool.targets.take(target.name)
+        waiter.placement = Placement(
+            target=target,
+            team=ticket.team,
+            pool=ticket.queue.pool,
+            started_s=self._clock.read_monotonic_s(),
+            urgent=ticket.queue.urgent,
+            charged_s=pool.note_start(team, ticket.queue.urgent),
+        )
+        _wake_task(waiter)
+        return StartResult.PROGRESS
+
+    def _return_unit(self, placement: Placement) -> None:
+        self._units.give_back(placement.team)
+        self.wake_team(placement.team)
+
+    def _find_pool(self, name: str) -> PoolQueue:
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = PoolQueue(TargetPool(self._data_centre, self._generator))
+            self._pools[name] = pool
+            pool.targets.replace_vms(self._fleet_view.list_usable(name), self._read_slots(name))
+        return pool
+
+    def _read_slots(self, pool: str) -> int:
+        rules = self._rules_view.rules
+        return rules.pools[pool].slots_per_vm if rules and pool in rules.pools else SLOTS_UNKNOWN
+
+    def _read_ceiling(self, team: str) -> int | None:
+        rules = self._rules_view.rules
+        return rules.teams[team].ceiling_units if rules and team in rules.teams else None
+
+    def _has_urgent(self, pool: str) -> bool:
+        rules = self._rules_view.rules
+        queues = rules.queues.values() if rules else ()
+        return any(queue.urgent and queue.pool == pool for queue in queues)
+
+
+def _wake_task(waiter: Waiter) -> None:
+    if waiter.task is not None:
+        trio.lowlevel.reschedule(waiter.task)
+
+
+def _refuse(reason: RefusalReason, detail: str) -> Refusal:
+    return Refusal(reason, detail, retry_after_s=RETRY_AFTER_S)
+
+
+def _refuse_waiting(pool: PoolQueue) -> Refusal:
+    if not pool.targets.capacity:
+        return _refuse(RefusalReason.NO_TARGET, 'the pool has no target that takes work')
+    return _refuse(RefusalReason.DEADLINE_IN_QUEUE, 'the deadline passed while the request waited')
--- a/comfreywind/entry/even_split_units.py
+++ b/comfreywind/entry/even_split_units.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.unit_source import WakeTeam
 
 
 class EvenSplitUnits:
@@ -34,3 +35,6 @@
     def read_session_left_s(self) -> float:
         """Return the freshness that is left, since nothing is leased here."""
         return self._rules_view.read_fresh_left_s()
+
+    def subscribe(self, wake_team: WakeTeam) -> None:
+        """Ignore the function; units come back through `give_back` only."""
--- a/comfreywind/entry/fleet_view.py
+++ b/comfreywind/entry/fleet_view.py
@@ -1,6 +1,6 @@
 """The VMs that this entry knows of and the pool each one belongs to."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from comfreywind.platform.row import Row
 from comfreywind.platform.vm_entry import VmEntry
@@ -18,17 +18,26 @@
         """Start without any VM."""
         self._listed: dict[str, VmEntry] = {}
         self._rows: dict[str, Row] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, receive_change: Callable[[], None]) -> None:
+        """Call the function after each change of the list or of a row."""
+        self._listeners.append(receive_change)
 
     def apply_vm_list(self, vms: Iterable[VmEntry]) -> None:
         """Take a newer list from the platform."""
-        self._listed = {vm.name: vm for vm in vms}
+        listed = {vm.name: vm for vm in vms}
+        if listed != self._listed:
+            self._listed = listed
+            self._tell_listeners()
 
     def apply_vm_row(self, row: Row) -> None:
         """Take a newer row of the table `vms`."""
         if row.value is None:
             self._rows.pop(row.key, None)
-            return
-        self._rows[row.key] = row
+        else:
+            self._rows[row.key] = row
+        self._tell_listeners()
 
     def list_vms(self) -> list[VmEntry]:
         """Return all VMs on the platform's list."""
@@ -51,6 +60,18 @@
             if self.find_pool(vm) == pool and self._takes_work(vm)
         ]
 
+    def group_usable(self) -> dict[str, list[VmEntry]]:
+        """Return the VMs that take new work by pool."""
+        groups: dict[str, list[VmEntry]] = {}
+        for vm in self._listed.values():
+            if self._takes_work(vm):
+                groups.setdefault(self.find_pool(vm), []).append(vm)
+        return groups
+
+    def _tell_listeners(self) -> None:
+        for receive_change in self._listeners:
+            receive_change()
+
     def _takes_work(self, vm: VmEntry) -> bool:
         if vm.state != 'live':
             return False
--- a/comfreywind/entry/forwarder.py
+++ b/comfreywind/entry/forwarder.py
@@ -27,6 +27,10 @@
     """The target's answer broke off after its headers had gone to the caller."""
 
 
+class TargetBusyError(Exception):
+    """The target stated that it has not run the request, because it has no free slot."""
+
+
 class Forwarder:
     """Places a request, sends it and passes the answer on."""
 
@@ -54,10 +58,22 @@
         """
         ticket = Ticket(request.request_id, queue, request.team, request.deadline_s)
         placement = await self._dispatcher.acquire(ticket)
+        while not await self._run_at(placement, request, max_run_s, send):
+            placement = await self._dispatcher.reacquire(ticket, placement)
+
+    async def _run_at(
+        self, placement: Placement, request: CallerRequest, max_run_s: float, send: Send
+    ) -> bool:
+        """Run the request; return False, with the placement still held, when it was not run."""
         try:
             await self._call_target(request, placement, max_run_s, send)
-        finally:
+        except TargetBusyError:
+            return False
+        except BaseException:
             self._dispatcher.release(placement)
+            raise
+        self._dispatcher.release(placement)
+        return True
 
     async def _call_target(
         self, request: CallerRequest, placement: Placement, max_run_s: float, send: Send
@@ -122,13 +138,7 @@
         self, request: CallerRequest, response: httpcore.Response, send: Send
     ) -> None:
         if _says_not_run(response):
-            raise RefusalError(
-                Refusal(
-                    RefusalReason.NO_TARGET,
-                    'the target has no free slot',
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            )
+            raise TargetBusyError
         chunks = response.aiter_stream()
         head, complete = await _read_head(chunks, self._buffer_limit_bytes)
         headers = [
--- /dev/null
+++ b/comfreywind/entry/load_sums.py
@@ -0,0 +1,23 @@
+"""Sums over the load reports of the peers."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from comfreywind.decisions.team_load import TeamLoad
+from comfreywind.peers.messages.load_report import LoadReport
+
+
+def sum_outstanding(reports: Mapping[str, LoadReport]) -> dict[str, int]:
+    """Return the requests of all peers at each target."""
+    totals: Counter[str] = Counter()
+    for report in reports.values():
+        totals.update(report.outstanding)
+    return dict(totals)
+
+
+def read_peer_loads(reports: Mapping[str, LoadReport], pool: str) -> dict[str, dict[str, TeamLoad]]:
+    """Return the load of each team in the pool by peer."""
+    return {
+        peer: {team: TeamLoad(*counts) for team, counts in report.loads.get(pool, {}).items()}
+        for peer, report in reports.items()
+    }
--- /dev/null
+++ b/comfreywind/entry/name_set.py
@@ -0,0 +1,34 @@
+"""A set of names that a random sample can be drawn from."""
+
+from collections.abc import Iterator
+
+
+class NameSet:
+    """Adds, removes and indexes names in constant time; their order has no meaning."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.names: list[str] = []
+        self._positions: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of names."""
+        return len(self.names)
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterate over the names."""
+        return iter(self.names)
+
+    def set_member(self, name: str, member: bool) -> None:
+        """Add or remove the name."""
+        if member == (name in self._positions):
+            return
+        if member:
+            self._positions[name] = len(self.names)
+            self.names.append(name)
+            return
+        position = self._positions.pop(name)
+        last = self.names.pop()
+        if last != name:
+            self.names[position] = last
+            self._positions[last] = position
--- a/comfreywind/entry/rules_view.py
+++ b/comfreywind/entry/rules_view.py
@@ -1,5 +1,7 @@
 """The rules, keys and VM rows that this entry knows of, and how fresh they are."""
 
+from collections.abc import Callable
+
 from comfreywind.bundle.rules import Rules
 from comfreywind.clock import Clock
 from comfreywind.decisions.keys import TeamKey
@@ -16,12 +18,19 @@
         self.rules: Rules | None = None
         self.keys: dict[str, TeamKey] = {}
         self.sequence = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, receive_change: Callable[[], None]) -> None:
+        """Call the function after new rules were taken."""
+        self._listeners.append(receive_change)
 
     def apply_rules(self, rules: Rules) -> bool:
         """Take rules of a higher version and return True; ignore all others."""
         if self.rules is not None and rules.version <= self.rules.version:
             return False
         self.rules = rules
+        for receive_change in self._listeners:
+            receive_change()
         return True
 
     def apply_key(self, key: TeamKey) -> bool:
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -6,11 +6,13 @@
 
 from comfreywind.clock import SystemClock
 from comfreywind.entry.caller_app import CallerApp
+from comfreywind.entry.dispatch_policy import make_policy
 from comfreywind.entry.dispatcher import Dispatcher
 from comfreywind.entry.even_split_units import EvenSplitUnits
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
+from comfreywind.entry.load_exchange import LoadExchange
 from comfreywind.entry.operations import Operations
 from comfreywind.entry.operator_app import OperatorApp
 from comfreywind.entry.rules_view import RulesView
@@ -19,6 +21,7 @@
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
 from comfreywind.logs import configure_logs
+from comfreywind.peers.no_peers import NoPeers
 from comfreywind.platform.object_client import ObjectClient
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.vm_list_client import VmListClient
@@ -40,7 +43,9 @@
     fleet_view = FleetView()
     feed = Feed(tables, objects, rules_view, fleet_view, clock)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
-    dispatcher = Dispatcher(rules_view, fleet_view, units, clock)
+    policy = make_policy(settings.policy)
+    dispatcher = Dispatcher(rules_view, fleet_view, units, clock, policy, settings.data_centre)
+    load_exchange = LoadExchange(NoPeers(), dispatcher, clock)
     forwarder = Forwarder(
         dispatcher, TargetClient(TARGET_CONNECTIONS), units, clock, settings.buffer_limit_bytes
     )
@@ -59,6 +64,7 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(set_on_termination, termination)
         nursery.start_soon(feed.run, timings.feed_interval_s)
+        nursery.start_soon(load_exchange.run, timings.heartbeat_interval_s)
         nursery.start_soon(
             poll_vm_list, VmListClient(client), fleet_view, timings.vm_list_interval_s
         )
--- /dev/null
+++ b/comfreywind/entry/target_pool.py
@@ -0,0 +1,120 @@
+"""The targets of one pool and their load as far as it is known."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from comfreywind.decisions.room_rule import RoomRule
+from comfreywind.decisions.target_choice import choose_target
+from comfreywind.entry.name_set import NameSet
+from comfreywind.platform.vm_entry import VmEntry
+
+
+class TargetPool:
+    """Chooses targets by known load, the same data centre first.
+
+    The known load of a target is what this entry has outstanding there, what its peers reported,
+    and whether the target itself has just stated that it is full.
+    """
+
+    def __init__(self, data_centre: str, generator: random.Random) -> None:
+        """Start without targets."""
+        self._data_centre = data_centre
+        self._generator = generator
+        self._slots = 0
+        self._vms: dict[str, VmEntry] = {}
+        self._own: Counter[str] = Counter()
+        self._peers: Mapping[str, int] = {}
+        self._full_until_s: dict[str, float] = {}
+        self._free_by_name: dict[str, int] = {}
+        self._with_room = (NameSet(), NameSet())
+        self._open = (NameSet(), NameSet())
+        self.free_slots = 0
+
+    @property
+    def capacity(self) -> int:
+        """Return the number of slots of all usable targets."""
+        return self._slots * len(self._vms)
+
+    @property
+    def has_open(self) -> bool:
+        """Return whether some target may have a free slot."""
+        return any(len(group) for group in self._open)
+
+    @property
+    def own_outstanding(self) -> dict[str, int]:
+        """Return the requests that this entry has at each target."""
+        return {name: count for name, count in self._own.items() if count}
+
+    def replace_vms(self, vms: Iterable[VmEntry], slots: int) -> None:
+        """Take the usable VMs of the pool and the number of slots of each."""
+        known = set(self._vms)
+        self._vms = {vm.name: vm for vm in vms}
+        self._slots = slots
+        for name in known | set(self._vms):
+            self._update(name)
+
+    def replace_peer_loads(self, outstanding: Mapping[str, int]) -> None:
+        """Take the requests of all peers at each target."""
+        changed = set(self._peers) | set(outstanding)
+        self._peers = outstanding
+        for name in changed:
+            self._update(name)
+
+    def choose(self, rule: RoomRule, excluded: frozenset[str]) -> VmEntry | None:
+        """Return a target that the rule allows and that is not excluded, or None."""
+        groups = (*self._with_room, *self._open) if rule is RoomRule.ANY else self._with_room
+        for group in groups:
+            name = choose_target(group.names, self._read_load, excluded, self._generator)
+            if name is not None:
+                return self._vms[name]
+        return None
+
+    def choose_blindly(self, excluded: frozenset[str]) -> VmEntry | None:
+        """Return any target to which this entry has less outstanding than its slots, or None."""
+        names = [name for group in self._open for name in group if name not in excluded]
+        return self._vms[self._generator.choice(names)] if names else None
+
+    def has_allowed(self, excluded: frozenset[str]) -> bool:
+        """Return whether the pool has a target that is not excluded, busy or not."""
+        return len(self._vms) > sum(name in self._vms for name in excluded)
+
+    def take(self, name: str) -> None:
+        """Count a request sent to the target."""
+        self._own[name] += 1
+        self._update(name)
+
+    def free(self, name: str) -> None:
+        """Count the end of a request at the target, which therefore has a free slot."""
+        self._own[name] -= 1
+        self._full_until_s.pop(name, None)
+        self._update(name)
+
+    def undo_take(self, name: str, full_until_s: float) -> None:
+        """Count a request as not sent, because the target stated that it is full."""
+        self._own[name] -= 1
+        self._full_until_s[name] = full_until_s
+        self._update(name)
+
+    def expire_marks(self, now_s: float) -> None:
+        """Forget which targets were full some time ago."""
+        expired = [name for name, until_s in self._full_until_s.items() if until_s <= now_s]
+        for name in expired:
+            del self._full_until_s[name]
+            self._update(name)
+
+    def _read_load(self, name: str) -> int:
+        return self._own[name] + self._peers.get(name, 0)
+
+    def _update(self, name: str) -> None:
+        vm = self._vms.get(name)
+        usable = vm is not None and name not in self._full_until_s
+        free = max(0, self._slots - self._read_load(name)) if usable else 0
+        self.free_slots += free - self._free_by_name.pop(name, 0)
+        if free:
+            self._free_by_name[name] = free
+        is_open = usable and self._own[name] < self._slots
+        is_local = vm is not None and vm.data_centre == self._data_centre
+        for group, local in zip((0, 1), (True, False), strict=True):
+            self._with_room[group].set_member(name, free > 0 and is_local == local)
+            self._open[group].set_member(name, is_open and is_local == local)
--- /dev/null
+++ b/comfreywind/entry/team_queue.py
@@ -0,0 +1,112 @@
+"""Requests of one team in one pool: those that wait and those that run."""
+
+from collections import Counter
+
+from comfreywind.decisions.service_time import ServiceTime, add_sample
+from comfreywind.decisions.start_order import advance_virtual_time
+from comfreywind.decisions.team_load import TeamLoad
+from comfreywind.entry.lane import Lane
+from comfreywind.entry.placement import Placement
+from comfreywind.entry.waiter import Waiter
+
+# An estimate that no run has confirmed for longer is dropped, because it would otherwise go on
+# refusing the very requests that could correct it.
+ESTIMATE_TTL_S = 10
+# Charged for a start before any run was measured.
+UNKNOWN_RUN_S = 0.1
+
+
+class TeamQueue:
+    """Waiting requests in an urgent and a normal lane, and the service that the team received."""
+
+    def __init__(self, team: str) -> None:
+        """Start with nothing waiting or running."""
+        self.team = team
+        self.urgent = Lane()
+        self.normal = Lane()
+        self.running = 0
+        self.urgent_running = 0
+        self.urgent_allowed = True
+        self.lacks_unit = False
+        self.quota = 1.0
+        self.virtual_time_s: float = 0
+        self._waiting_by_queue: Counter[str] = Counter()
+        self._service = ServiceTime()
+        self._sampled_s: float = 0
+
+    @property
+    def waiting(self) -> int:
+        """Return how many wait."""
+        return len(self.urgent) + len(self.normal)
+
+    @property
+    def urgent_first(self) -> bool:
+        """Return whether urgent work waits that is within the team's entitlement."""
+        return self.urgent_allowed and len(self.urgent) > 0
+
+    @property
+    def first_number(self) -> int:
+        """Return the lowest arrival number among the first requests of both lanes."""
+        first = [waiter.number for lane in (self.urgent, self.normal) for waiter in lane.peek(1)]
+        return min(first)
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many wait in the queue."""
+        return self._waiting_by_queue[queue]
+
+    def find_lane(self, waiter: Waiter) -> Lane:
+        """Return the lane that the request belongs to."""
+        return self.urgent if waiter.ticket.queue.urgent else self.normal
+
+    def add(self, waiter: Waiter, at_front: bool) -> None:
+        """Add a waiting request."""
+        self.find_lane(waiter).add(waiter, at_front)
+        self._waiting_by_queue[waiter.ticket.queue.name] += 1
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Remove a request and return whether it was waiting."""
+        removed = self.find_lane(waiter).remove(waiter)
+        if removed:
+            self._waiting_by_queue[waiter.ticket.queue.name] -= 1
+        return removed
+
+    def start(self, urgent: bool) -> float:
+        """Count a start; charge the usual run time and return it in seconds."""
+        self.running += 1
+        self.urgent_running += urgent
+        charged_s = self._service.mean_s or UNKNOWN_RUN_S
+        self._charge(charged_s)
+        return charged_s
+
+    def finish(self, placement: Placement, now_s: float) -> None:
+        """Count the end of a run and correct what was charged for it."""
+        run_s = now_s - placement.started_s
+        self.running -= 1
+        self.urgent_running -= placement.urgent
+        self._charge(run_s - placement.charged_s)
+        self._service = add_sample(self._service, run_s)
+        self._sampled_s = now_s
+
+    def undo_start(self, placement: Placement) -> None:
+        """Count a start as not made, because nothing ran."""
+        self.running -= 1
+        self.urgent_running -= placement.urgent
+        self._charge(-placement.charged_s)
+
+    def catch_up(self, virtual_time_s: float) -> None:
+        """Give up the claim to service for a time in which the team could use none."""
+        self.virtual_time_s = max(self.virtual_time_s, virtual_time_s)
+
+    def read_service(self, now_s: float) -> ServiceTime:
+        """Return the measured run times, or none when they are old."""
+        if now_s - self._sampled_s > ESTIMATE_TTL_S + 2 * self._service.mean_s:
+            self._service = ServiceTime()
+        return self._service
+
+    def make_load(self) -> TeamLoad:
+        """Return the load as it is reported to peers."""
+        urgent_ready = len(self.urgent) if self.urgent_allowed and not self.lacks_unit else 0
+        return TeamLoad(self.running, self.waiting, self.urgent_running, urgent_ready)
+
+    def _charge(self, service_s: float) -> None:
+        self.virtual_time_s = advance_virtual_time(self.virtual_time_s, service_s, self.quota)
--- /dev/null
+++ b/comfreywind/entry/waiter.py
@@ -0,0 +1,19 @@
+"""One request in a queue."""
+
+from dataclasses import dataclass
+
+import trio
+
+from comfreywind.entry.placement import Placement
+from comfreywind.entry.ticket import Ticket
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A ticket, its number in the order of arrival, and the task to wake when it is placed."""
+
+    ticket: Ticket
+    number: int
+    task: trio.lowlevel.Task | None = None
+    placement: Placement | None = None
+    refused: bool = False
--- /dev/null
+++ b/comfreywind/peers/messages/load_report.py
@@ -0,0 +1,17 @@
+"""Load of an entry, for the fair shares and the choice of targets at its peers."""
+
+from dataclasses import dataclass
+
+from comfreywind.peers.peer_message import PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport(PeerMessage):
+    """What runs and waits at the sender.
+
+    `loads` maps pool and team to the fields of `TeamLoad` in their order; `outstanding` maps a target
+    to the sender's requests there. Both leave out what is zero.
+    """
+
+    loads: dict[str, dict[str, list[int]]]
+    outstanding: dict[str, int]
--- a/comfreywind/settings/entry.py
+++ b/comfreywind/settings/entry.py
@@ -1,5 +1,7 @@
 """Settings of an entry process."""
 
+from typing import Literal
+
 from pydantic import Field
 
 from comfreywind.logs import LogFormat
@@ -26,4 +28,5 @@
     log_format: LogFormat = 'human'
     body_limit_bytes: int = Field(default=1_048_576, gt=0)
     buffer_limit_bytes: int = Field(default=65_536, ge=0)
+    policy: Literal['shares', 'naive'] = 'shares'
     timings: Timings = Timings()
