--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -135,7 +135,7 @@
         outstanding = sum_outstanding(reports)
         now_s = self._clock.read_monotonic_s()
         for name, pool in self._pools.items():
-            pool.targets.expire_marks(now_s)
+            pool.targets.expire_statements(now_s)
             pool.targets.replace_peer_loads(outstanding)
             keeps_reserve = self._policy.keeps_reserve and self._has_urgent(name)
             pool.renew_plan(read_peer_loads(reports, name), team_rules, keeps_reserve, now_s)
--- a/comfreywind/entry/target_pool.py
+++ b/comfreywind/entry/target_pool.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from comfreywind.decisions.room_rule import RoomRule
 from comfreywind.decisions.target_choice import choose_target
@@ -10,11 +11,19 @@
 from comfreywind.platform.vm_entry import VmEntry
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLoad:
+    """Requests of peers at a target that stated that it is full, and how long that counts."""
+
+    outstanding: int
+    until_s: float
+
+
 class TargetPool:
     """Chooses targets by known load, the same data centre first.
 
-    The known load of a target is what this entry has outstanding there, what its peers reported,
-    and whether the target itself has just stated that it is full.
+    The known load of a target is what this entry has outstanding there and what its peers have
+    according to their reports or, when that is more, to the target's refusal of a request.
     """
 
     def __init__(self, data_centre: str, generator: random.Random) -> None:
@@ -25,7 +34,7 @@
         self._vms: dict[str, VmEntry] = {}
         self._own: Counter[str] = Counter()
         self._peers: Mapping[str, int] = {}
-        self._full_until_s: dict[str, float] = {}
+        self._stated: dict[str, StatedLoad] = {}
         self._free_by_name: dict[str, int] = {}
         self._with_room = (NameSet(), NameSet())
         self._open = (NameSet(), NameSet())
@@ -85,35 +94,37 @@
         self._update(name)
 
     def free(self, name: str) -> None:
-        """Count the end of a request at the target, which therefore has a free slot."""
+        """Count the end of a request at the target."""
         self._own[name] -= 1
-        self._full_until_s.pop(name, None)
         self._update(name)
 
     def undo_take(self, name: str, full_until_s: float) -> None:
         """Count a request as not sent, because the target stated that it is full."""
         self._own[name] -= 1
-        self._full_until_s[name] = full_until_s
+        self._stated[name] = StatedLoad(self._slots - self._own[name], full_until_s)
         self._update(name)
 
-    def expire_marks(self, now_s: float) -> None:
+    def expire_statements(self, now_s: float) -> None:
         """Forget which targets were full some time ago."""
-        expired = [name for name, until_s in self._full_until_s.items() if until_s <= now_s]
+        expired = [name for name, stated in self._stated.items() if stated.until_s <= now_s]
         for name in expired:
-            del self._full_until_s[name]
+            del self._stated[name]
             self._update(name)
 
     def _read_load(self, name: str) -> int:
-        return self._own[name] + self._peers.get(name, 0)
+        return self._own[name] + max(self._peers.get(name, 0), self._read_stated(name))
+
+    def _read_stated(self, name: str) -> int:
+        stated = self._stated.get(name)
+        return stated.outstanding if stated else 0
 
     def _update(self, name: str) -> None:
         vm = self._vms.get(name)
-        usable = vm is not None and name not in self._full_until_s
-        free = max(0, self._slots - self._read_load(name)) if usable else 0
+        free = max(0, self._slots - self._read_load(name)) if vm else 0
         self.free_slots += free - self._free_by_name.pop(name, 0)
         if free:
             self._free_by_name[name] = free
-        is_open = usable and self._own[name] < self._slots
+        is_open = vm is not None and self._own[name] + self._read_stated(name) < self._slots
         is_local = vm is not None and vm.data_centre == self._data_centre
         for group, local in zip((0, 1), (True, False), strict=True):
             self._with_room[group].set_member(name, free > 0 and is_local == local)
