--- a/comfreywind/entry/rules_view.py
+++ b/comfreywind/entry/rules_view.py
@@ -1,5 +1,7 @@
 """The rules and keys that this entry knows of, and how fresh they are."""
 
+from collections.abc import Callable
+
 from comfreywind.bundle.rules import Rules
 from comfreywind.clock import Clock
 from comfreywind.decisions.freshness import is_fresh
@@ -29,6 +31,11 @@
         self.keys_digest = 0
         self.sequence = 0
         self.view_sequence = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, receive_change: Callable[[], None]) -> None:
+        """Call the function after new rules were taken."""
+        self._listeners.append(receive_change)
 
     def read_version(self) -> int:
         """Return the bundle version in force, 0 before the first one."""
@@ -41,6 +48,8 @@
         self.rules = rules
         self.offer = offer
         self.note_accepted(rules.version)
+        for receive_change in self._listeners:
+            receive_change()
         return True
 
     def note_accepted(self, version: int) -> None:
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -7,6 +7,7 @@
 from comfreywind.clock import Clock, SystemClock
 from comfreywind.entry.caller_app import CallerApp
 from comfreywind.entry.confirmations import Confirmations
+from comfreywind.entry.dispatch_policy import make_policy
 from comfreywind.entry.dispatcher import Dispatcher
 from comfreywind.entry.even_split_units import EvenSplitUnits
 from comfreywind.entry.feed import Feed
@@ -15,6 +16,7 @@
 from comfreywind.entry.observed_app import ObservedApp
 from comfreywind.entry.heartbeat_source import HeartbeatSource
 from comfreywind.entry.member_status import MemberStatus
+from comfreywind.entry.load_exchange import LoadExchange
 from comfreywind.entry.operations import Operations
 from comfreywind.entry.operator_app import OperatorApp
 from comfreywind.entry.propagation import Propagation
@@ -58,7 +60,9 @@
     )
     feed = Feed(tables, objects, rules_view, fleet_view, clock)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
-    dispatcher = Dispatcher(rules_view, fleet_view, units, clock)
+    policy = make_policy(settings.policy)
+    dispatcher = Dispatcher(rules_view, fleet_view, units, clock, policy, settings.data_centre)
+    load_exchange = LoadExchange(hub, dispatcher, clock)
     forwarder = Forwarder(
         dispatcher, TargetClient(TARGET_CONNECTIONS), units, clock, settings.buffer_limit_bytes
     )
@@ -89,6 +93,7 @@
         await nursery.start(hub.run)
         nursery.start_soon(feed.run, timings.feed_interval_s)
         nursery.start_soon(summaries.run, recorder, timings.summary_interval_s)
+        nursery.start_soon(load_exchange.run, timings.heartbeat_interval_s)
         nursery.start_soon(
             poll_vm_list, VmListClient(client), fleet_view, timings.vm_list_interval_s
         )
