Stop an entry without cutting off requests; report start-up failures in a line

After SIGTERM the readiness check fails while requests are still served, with Connection: close, for drain_notice_s; then requests are refused as entry-stopping until none is in flight. Before, requests were refused at once and hypercorn cut off those longer than 30 s.

An address in use ends the process with status 7 and one line.

--- a/comfreywind/core.py
+++ b/comfreywind/core.py
@@ -28,4 +28,18 @@
 
 def run_command(args: list[str], env: Environment) -> None:
     """Run the command; raise click's exceptions or an error of the project when it fails."""
-    root_command.main(args=args, prog_name=env.program_name, obj=env, standalone_mode=False)
+    try:
+        root_command.main(args=args, prog_name=env.program_name, obj=env, standalone_mode=False)
+    except ExceptionGroup as group:
+        raise find_project_error(group) from group
+
+
+def find_project_error(group: ExceptionGroup[Exception]) -> Exception:
+    """Return the first error of parallel tasks if all are the project's own, else the group."""
+    project_errors, other_errors = group.split(ComfreywindError)
+    if project_errors is None or other_errors is not None:
+        return group
+    error: Exception = project_errors
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/comfreywind/entry/caller_app.py
+++ b/comfreywind/entry/caller_app.py
@@ -17,7 +17,7 @@
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.http.asgi_body import BodyIncompleteError, BodyTooLargeError, read_body
 from comfreywind.http.asgi_reply import send_json, send_reply
-from comfreywind.http.asgi_types import HeaderList, Receive, Scope, Send
+from comfreywind.http.asgi_types import HeaderList, Message, Receive, Scope, Send
 
 QUEUE_PATH = re.compile('^/queues/([^/]+)(/.*)?$')
 REQUEST_ID = re.compile('^[A-Za-z0-9._:-]{1,128}$')
@@ -43,12 +43,30 @@
         self._clock = clock
         self._body_limit_bytes = body_limit_bytes
         self._default_deadline_s = default_deadline_s
+        self.leaving = False
         self.stopping = False
+        self.active_count = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one request."""
+        """Serve one request; once the entry is leaving, the response closes the connection."""
+        self.active_count += 1
+        try:
+            await self._answer(scope, receive, self._close_when_leaving(send))
+        finally:
+            self.active_count -= 1
+
+    def _close_when_leaving(self, send: Send) -> Send:
+        async def send_message(message: Message) -> None:
+            if self.leaving and message['type'] == 'http.response.start':
+                headers = [*message['headers'], (b'connection', b'close')]
+                message = {**message, 'headers': headers}
+            await send(message)
+
+        return send_message
+
+    async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope['path'] == '/health/ready':
-            ready = self._find_unready_reason() is None
+            ready = self._find_unready_reason() is None and not self.leaving
             await send_json(send, 200 if ready else 503, {'ready': ready})
             return
         request_id = find_header(scope['headers'], b'x-request-id') or uuid.uuid4().hex
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -12,6 +12,7 @@
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
+from comfreywind.entry.graceful_stop import stop_serving
 from comfreywind.entry.heartbeat_source import HeartbeatSource
 from comfreywind.entry.member_status import MemberStatus
 from comfreywind.entry.operations import Operations
@@ -85,8 +86,7 @@
                 partial(serve_app, operator_app, settings.operator_address, shutdown)
             )
             await termination.wait()
-            caller_app.stopping = True
-            await trio.sleep(timings.drain_notice_s)
+            await stop_serving(caller_app, timings)
             shutdown.set()
         nursery.cancel_scope.cancel()
 
--- a/comfreywind/http/server.py
+++ b/comfreywind/http/server.py
@@ -7,6 +7,7 @@
 from hypercorn.trio import serve
 
 from comfreywind.http.asgi_types import AsgiApp, Receive, Scope, Send
+from comfreywind.listening import open_listening_socket
 from comfreywind.settings.address import Address
 
 KEEP_ALIVE_S = 75
@@ -21,9 +22,12 @@
     graceful_timeout_s: float = 30,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve the app until `shutdown` is set, then finish requests within the graceful timeout."""
+    """Serve the app until `shutdown` is set, then finish requests within the graceful timeout.
+
+    Raises ListenError when the address can't be listened on.
+    """
     config = Config()
-    config.bind = [str(address)]
+    config.bind = [f'fd://{open_listening_socket(address).detach()}']
     config.loglevel = 'WARNING'
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.graceful_timeout = graceful_timeout_s
--- a/comfreywind/settings/timings.py
+++ b/comfreywind/settings/timings.py
@@ -21,6 +21,7 @@
     connect_timeout_s: float = Field(default=1, gt=0)
     confirm_wait_s: float = Field(default=2, ge=0)
     drain_notice_s: float = Field(default=2, ge=0)
+    stop_limit_s: float = Field(default=900, ge=0)
     default_deadline_s: float = Field(default=30, gt=0)
     suspect_s: float = Field(default=10, gt=0)
     claim_retention_s: float = Field(default=86400, gt=0)
