Control pools: leases, waves, budgets, moves and explanations

Each transaction of a pool is decided from one state of the change feed and carries the version of the pool's control row as its condition. Ruled out: reading rows back after a lost reply, because the feed already tells.

The reboot call names the incarnation that it replaces (If-Match).

The platform stand-in now reboots for reboot_s, tells the executor, and counts the tasks that a reboot interrupts.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,6 +4,7 @@
 import json
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from types import TracebackType
@@ -77,6 +78,7 @@
             self.keys[team] = self.grant_key(team)
         wait_until(self._all_ready, 'entries')
         wait_until(self._all_know_keys, 'keys on all entries')
+        wait_until(self._all_use_vms, 'rows of all VMs on all entries')
 
     def stop(self) -> None:
         """Stop everything and remove the settings files."""
@@ -142,6 +144,7 @@
             'address': self.platform_address,
             'vms': self.vms,
             'vm_list_lag_s': self.plan.vm_list_lag_s,
+            'reboot_s': self.plan.reboot_s,
         }
         return FleetProcess(self.folder, 'platform', ['stand-in', 'platform'], settings)
 
@@ -185,6 +188,14 @@
         ]
         return all(count >= len(self.keys) for count in sequences)
 
+    def _all_use_vms(self) -> bool:
+        expected = Counter(vm['pool'] for vm in self.vms)
+        return all(
+            pool['usable_vms'] >= expected[pool['name']]
+            for index in range(self.plan.entries_count)
+            for pool in self.call_operator('GET', '/v1/pools', entry=index)['pools']
+        )
+
 
 def wait_until(
     condition: Callable[[], bool], name: str, timeout_s: float = START_TIMEOUT_S
--- a/bench/fleet_plan.py
+++ b/bench/fleet_plan.py
@@ -32,4 +32,5 @@
     bundle: dict[str, Any] = field(default_factory=lambda: DEFAULT_BUNDLE)
     timings: dict[str, float] = field(default_factory=lambda: {'drain_notice_s': 0.2})
     vm_list_lag_s: float = 0.5
+    reboot_s: float = 0.5
     target_processes: int = 1
--- a/comfreywind/bundle/models.py
+++ b/comfreywind/bundle/models.py
@@ -30,6 +30,10 @@
     spare: bool = False
     slots_per_vm: int = Field(default=8, gt=0)
     connections_per_vm: int = Field(default=64, gt=0)
+    maintenance_enabled: bool = True
+    maintenance_period_s: float = Field(default=4_233_600, gt=0)
+    maintenance_lead_s: float = Field(default=604_800, ge=0)
+    spare_hold_s: float = Field(default=600, ge=0)
 
 
 class QueueModel(BundleModel):
--- a/comfreywind/bundle/parse.py
+++ b/comfreywind/bundle/parse.py
@@ -11,7 +11,11 @@
 def parse_bundle(document: object, source: str) -> BundleDocument:
     """Return the bundle; raise BundleError naming source, key path and reason."""
     bundle = validate_model(BundleDocument, document, source, BundleError)
-    faults = [*_find_queue_faults(bundle), *_find_objective_faults(bundle)]
+    faults = [
+        *_find_pool_faults(bundle),
+        *_find_queue_faults(bundle),
+        *_find_objective_faults(bundle),
+    ]
     if faults:
         raise BundleError(f'{source}: {"; ".join(faults)}')
     return bundle
@@ -31,6 +35,12 @@
     )
 
 
+def _find_pool_faults(bundle: BundleDocument) -> Iterator[str]:
+    for name, pool in bundle.pools.items():
+        if pool.maintenance_lead_s >= pool.maintenance_period_s:
+            yield f'pools.{name}.maintenance_lead_s: not shorter than the period'
+
+
 def _find_queue_faults(bundle: BundleDocument) -> Iterator[str]:
     for name, queue in bundle.queues.items():
         pool = bundle.pools.get(queue.pool)
--- a/comfreywind/bundle/rules.py
+++ b/comfreywind/bundle/rules.py
@@ -17,7 +17,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolRules:
-    """A pool's run time limit, executor limits and availability budget."""
+    """A pool's run time limit, executor limits, availability budget and maintenance.
+
+    Every VM is maintained once in `maintenance_period_s`; waves start `maintenance_lead_s` earlier.
+    A borrowed spare VM stays for at least `spare_hold_s`.
+    """
 
     name: str
     max_run_s: float
@@ -26,6 +30,10 @@
     spare: bool
     slots_per_vm: int
     connections_per_vm: int
+    maintenance_enabled: bool = True
+    maintenance_period_s: float = 4_233_600
+    maintenance_lead_s: float = 604_800
+    spare_hold_s: float = 600
 
 
 @dataclass(frozen=True, slots=True)
--- a/comfreywind/cli/options.py
+++ b/comfreywind/cli/options.py
@@ -32,3 +32,16 @@
         required=True,
         help='Operator token; better given in the environment.',
     )(function)
+
+
+def report_options(function: CommandFunction) -> CommandFunction:
+    """Add the options of a command that prints what an entry knows."""
+    function = click.option(
+        '--format',
+        'output_format',
+        type=click.Choice(('text', 'json')),
+        default='text',
+        show_default=True,
+        help='Form of the output.',
+    )(function)
+    return operator_options(function)
--- a/comfreywind/cli/root.py
+++ b/comfreywind/cli/root.py
@@ -6,6 +6,7 @@
 from comfreywind.cli.bundle import bundle_group
 from comfreywind.cli.check import check_command
 from comfreywind.cli.entry import entry_command
+from comfreywind.cli.explain import explain_command
 from comfreywind.cli.key import key_group
 from comfreywind.cli.show import show_command
 from comfreywind.cli.stand_in import stand_in_group
@@ -23,3 +24,4 @@
 root_command.add_command(bundle_group)
 root_command.add_command(key_group)
 root_command.add_command(show_command)
+root_command.add_command(explain_command)
--- /dev/null
+++ b/comfreywind/control/pool_row.py
@@ -0,0 +1,26 @@
+"""Makes the rows of the table `budgets`."""
+
+from typing import Any
+
+from comfreywind.decisions.pools.pool_plan import PoolPlan
+
+
+def make_pool_fields(plan: PoolPlan) -> dict[str, Any]:
+    """Return the value of a pool's row: budget, stops under way, wave and spare VMs wanted."""
+    budget = plan.budget
+    return {
+        'size': budget.size,
+        'required': budget.required,
+        'available': budget.available,
+        'tolerated': budget.tolerated,
+        'margin': budget.margin,
+        'stops': sorted(vm.name for vm in plan.vms if vm.stopping),
+        'borrowed': sorted(vm.name for vm in plan.vms if vm.borrowed),
+        'wanted': plan.wanted,
+        'wave': {
+            'state': plan.wave.state.value,
+            'cause': plan.wave.cause,
+            'domain': plan.wave.domain,
+            'due': plan.wave.due,
+        },
+    }
--- /dev/null
+++ b/comfreywind/decisions/pools/pool_plan.py
@@ -0,0 +1,117 @@
+"""The whole decision about a pool at one moment."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from comfreywind.decisions.pools.budget import Budget, compute_budget
+from comfreywind.decisions.pools.pool_snapshot import PoolSnapshot
+from comfreywind.decisions.pools.pool_vm import PoolVm, VmState
+from comfreywind.decisions.pools.spares import choose_wanted, give_spares, return_spares
+from comfreywind.decisions.pools.vm_change import VmChange
+from comfreywind.decisions.pools.vm_steps import begin_stop, cancel_drain, finish_drain, observe_vm
+from comfreywind.decisions.pools.wave import (
+    StopChooser,
+    Wave,
+    WaveState,
+    choose_stops,
+    describe_wave,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPlan:
+    """Decided changes of VM rows, the spare VMs wanted, and budget and wave afterwards."""
+
+    changes: tuple[VmChange, ...]
+    vms: tuple[PoolVm, ...]
+    wanted: dict[str, int]
+    budget: Budget
+    wave: Wave
+
+
+class _Draft:
+    """VMs as they become while the steps of a plan are decided, at most one change a VM."""
+
+    def __init__(self, vms: Iterable[PoolVm]) -> None:
+        self._vms: dict[str, PoolVm | None] = {vm.name: vm for vm in vms}
+        self.changes: dict[str, VmChange] = {}
+
+    @property
+    def vms(self) -> tuple[PoolVm, ...]:
+        return tuple(vm for vm in self._vms.values() if vm is not None)
+
+    def apply(self, changes: Iterable[VmChange]) -> None:
+        for change in changes:
+            name = change.before.name
+            if name not in self.changes:
+                self.changes[name] = change
+                self._vms[name] = change.after
+
+
+def plan_pool(
+    snapshot: PoolSnapshot, asked: dict[str, int], choose: StopChooser = choose_stops
+) -> PoolPlan:
+    """Return what to change in the pool now.
+
+    The order matters: observed failures first, then the repair of a broken budget (stops that have
+    not begun to reboot are taken back), and only then reboots, new stops and moves.
+    """
+    draft = _Draft(snapshot.vms)
+    steps = [observe_vm(vm, snapshot) for vm in snapshot.vms]
+    draft.apply(step for step in steps if step is not None)
+    draft.apply(_cancel_drains(snapshot, draft.vms))
+    draft.apply(_finish_drains(snapshot, draft.vms))
+    own = _list_own(snapshot, draft)
+    draft.apply(return_spares(snapshot, own))
+    draft.apply(give_spares(snapshot, own))
+    wave = describe_wave(snapshot, _list_own(snapshot, draft))
+    if wave.state == WaveState.RUNNING:
+        draft.apply(_begin_stops(snapshot, _list_own(snapshot, draft), choose))
+    vms = _list_own(snapshot, draft)
+    return PoolPlan(
+        changes=tuple(draft.changes.values()),
+        vms=vms,
+        wanted=choose_wanted(snapshot, vms, asked),
+        budget=compute_budget(vms, snapshot.find_failing(), snapshot.policy),
+        wave=wave,
+    )
+
+
+def _list_own(snapshot: PoolSnapshot, draft: _Draft) -> tuple[PoolVm, ...]:
+    return tuple(vm for vm in draft.vms if vm.pool == snapshot.name)
+
+
+def _cancel_drains(snapshot: PoolSnapshot, vms: tuple[PoolVm, ...]) -> list[VmChange]:
+    """Return draining VMs to work while the pool has less than its budget requires."""
+    margin = compute_budget(vms, snapshot.find_failing(), snapshot.policy).margin
+    if snapshot.policy.spare or margin >= 0:
+        return []
+    draining = sorted(
+        (vm for vm in vms if vm.state == VmState.DRAINING), key=lambda vm: (-vm.since_s, vm.name)
+    )
+    cause = 'a failure left less than the budget requires'
+    return [cancel_drain(vm, snapshot.now_s, cause, margin=margin) for vm in draining[:-margin]]
+
+
+def _finish_drains(snapshot: PoolSnapshot, vms: tuple[PoolVm, ...]) -> list[VmChange]:
+    return [
+        finish_drain(vm, snapshot)
+        for vm in vms
+        if vm.state == VmState.DRAINING and vm.name in snapshot.drained
+    ]
+
+
+def _begin_stops(
+    snapshot: PoolSnapshot, vms: tuple[PoolVm, ...], choose: StopChooser
+) -> list[VmChange]:
+    budget = compute_budget(vms, snapshot.find_failing(), snapshot.policy)
+    inputs: dict[str, object] = {
+        'available': budget.available,
+        'required': budget.required,
+        'tolerated': budget.tolerated,
+        'stopping': budget.stopping,
+    }
+    return [
+        begin_stop(vm, snapshot.now_s, 'maintenance is due', **inputs)
+        for vm in choose(snapshot, vms)
+    ]
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -50,6 +50,10 @@
         self._units.give_back(placement.team)
         self._outstanding[placement.target.name] -= 1
 
+    def read_outstanding(self) -> dict[str, int]:
+        """Return the number of requests that hold a slot, by target, without zeros."""
+        return {name: count for name, count in self._outstanding.items() if count}
+
     async def _wait_for_place(self, ticket: Ticket) -> Placement:
         while self._clock.read_monotonic_s() < ticket.deadline_s:
             placement = self._try_place(ticket)
--- a/comfreywind/entry/feed.py
+++ b/comfreywind/entry/feed.py
@@ -6,6 +6,7 @@
 
 from comfreywind.bundle.parse import make_rules, parse_bundle
 from comfreywind.clock import Clock
+from comfreywind.control.control_view import CONTROL_TABLES, ControlView
 from comfreywind.decisions.keys import TeamKey
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.rules_view import RulesView
@@ -15,7 +16,7 @@
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.table_names import ROW_BUNDLE, TABLE_CURRENT, TABLE_KEYS, TABLE_VMS
 
-FOLLOWED_TABLES = (TABLE_CURRENT, TABLE_KEYS, TABLE_VMS)
+FOLLOWED_TABLES = (TABLE_CURRENT, TABLE_KEYS, *CONTROL_TABLES)
 
 log = logging.getLogger('comfreywind.feed')
 
@@ -30,6 +31,7 @@
         rules_view: RulesView,
         fleet_view: FleetView,
         clock: Clock,
+        control_view: ControlView | None = None,
     ) -> None:
         """Use the given clients and views."""
         self._tables = tables
@@ -37,6 +39,7 @@
         self._rules_view = rules_view
         self._fleet_view = fleet_view
         self._clock = clock
+        self._control_view = control_view or ControlView(clock)
 
     async def run(self, interval_s: float) -> None:
         """Poll for ever; a failed read leaves the views as they are."""
@@ -53,6 +56,7 @@
         changes = await self._tables.read_changes(self._rules_view.sequence, FOLLOWED_TABLES)
         for row in changes.rows:
             await self._apply_row(row)
+        self._control_view.apply_changes(changes)
         self._rules_view.sequence = changes.sequence
         self._rules_view.confirm(started_s)
 
--- a/comfreywind/entry/fleet_view.py
+++ b/comfreywind/entry/fleet_view.py
@@ -6,16 +6,21 @@
 from comfreywind.platform.vm_entry import VmEntry
 
 STATE_ACTIVE = 'active'
+STATE_SUSPECT = 'suspect'
+STATE_UNKNOWN = 'unknown'
 
 
 class FleetView:
     """Joins the platform's VM list with the rows of the table `vms`.
 
-    The row decides the pool; a VM without a row belongs to the pool on the list.
+    The row decides the pool. With `requires_row`, a VM without a row takes no work, because two
+    entries could read different pools from the list while it changes; else such a VM belongs to
+    the pool on the list.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, requires_row: bool = False) -> None:
         """Start without any VM."""
+        self._requires_row = requires_row
         self._listed: dict[str, VmEntry] = {}
         self._rows: dict[str, Row] = {}
 
@@ -44,15 +49,23 @@
         return vm.pool if row is None or row.value is None else str(row.value['pool'])
 
     def list_usable(self, pool: str) -> list[VmEntry]:
-        """Return the VMs of the pool that take new work."""
-        return [
-            vm
-            for vm in self._listed.values()
-            if self.find_pool(vm) == pool and self._takes_work(vm)
-        ]
-
-    def _takes_work(self, vm: VmEntry) -> bool:
-        if vm.state != 'live':
-            return False
+        """Return the VMs of the pool that take new work.
+
+        These are the active ones. When more VMs are suspect than active, the suspect ones that are
+        still listed as live are used too, because then the observations of the entry that holds
+        the control lease are more likely wrong than most of the pool (as the panic threshold of
+        outlier ejection).
+        """
+        live = [vm for vm in self._list_live() if self.find_pool(vm) == pool]
+        active = [vm for vm in live if self._read_state(vm) == STATE_ACTIVE]
+        suspect = [vm for vm in live if self._read_state(vm) == STATE_SUSPECT]
+        return active + suspect if len(suspect) > len(active) else active
+
+    def _list_live(self) -> list[VmEntry]:
+        return [vm for vm in self._listed.values() if vm.state == 'live']
+
+    def _read_state(self, vm: VmEntry) -> str:
         row = self._rows.get(vm.name)
-        return row is None or row.value is None or row.value['state'] == STATE_ACTIVE
+        if row is not None and row.value is not None:
+            return str(row.value['state'])
+        return STATE_UNKNOWN if self._requires_row else STATE_ACTIVE
--- a/comfreywind/entry/operator_app.py
+++ b/comfreywind/entry/operator_app.py
@@ -2,7 +2,11 @@
 
 import hmac
 import logging
+from operator import itemgetter
+from urllib.parse import unquote
 
+from comfreywind.bundle.rules import PoolRules
+from comfreywind.control.control_view import ControlView
 from comfreywind.decisions.keys import hash_secret
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.header_rules import find_header
@@ -13,7 +17,12 @@
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.http.routes import HttpCall, find_route, make_route
+from comfreywind.platform.table_names import TABLE_BUDGETS, TABLE_CONTROL, TABLE_VMS
+from comfreywind.platform.vm_entry import VmEntry
+from comfreywind.report.explainer import Explainer
 
+EXPLAINED_KINDS = ('vm', 'request', 'team', 'pool')
+EXPLAINED_TABLES = {'vm': TABLE_VMS, 'pool': TABLE_BUDGETS}
 BODY_LIMIT_BYTES = 4_194_304
 BAD_REQUEST_ERRORS = (BodyMalformedError, BundleError, KeyError, ValueError)
 
@@ -30,6 +39,8 @@
         operations: Operations,
         rules_view: RulesView,
         fleet_view: FleetView,
+        control_view: ControlView,
+        explainer: Explainer,
     ) -> None:
         """Use the given parts."""
         self._entry_name = entry_name
@@ -37,11 +48,14 @@
         self._operations = operations
         self._rules_view = rules_view
         self._fleet_view = fleet_view
+        self._control_view = control_view
+        self._explainer = explainer
         self._routes = [
             make_route('GET', '/v1/status', self._get_status),
             make_route('GET', '/v1/pools', self._get_pools),
             make_route('GET', '/v1/vms', self._get_vms),
             make_route('GET', '/v1/teams', self._get_teams),
+            make_route('GET', '/v1/explain/{kind}/{name}', self._get_explanation),
             make_route('POST', '/v1/bundles', self._post_bundle),
             make_route('POST', '/v1/bundles/{version}/sign-off', self._post_sign_off),
             make_route('POST', '/v1/bundles/{version}/roll-out', self._post_roll_out),
@@ -86,16 +100,22 @@
 
     async def _get_pools(self, call: HttpCall) -> None:
         rules = self._rules_view.rules
-        names = sorted(rules.pools) if rules else []
-        pools = [{'name': name, 'usable_vms': self._count_usable(name)} for name in names]
-        await send_json(call.send, 200, {'pools': pools})
+        pools = [self._describe_pool(pool) for pool in rules.pools.values()] if rules else []
+        await send_json(call.send, 200, {'pools': sorted(pools, key=itemgetter('name'))})
 
     async def _get_vms(self, call: HttpCall) -> None:
-        vms = [
-            {'name': vm.name, 'pool': self._fleet_view.find_pool(vm), 'state': vm.state}
-            for vm in self._fleet_view.list_vms()
-        ]
-        await send_json(call.send, 200, {'vms': vms})
+        vms = [self._describe_vm(vm) for vm in self._fleet_view.list_vms()]
+        await send_json(call.send, 200, {'vms': sorted(vms, key=itemgetter('name'))})
+
+    async def _get_explanation(self, call: HttpCall) -> None:
+        kind = call.path_parts['kind']
+        name = unquote(call.path_parts['name'])
+        if kind not in EXPLAINED_KINDS:
+            raise ValueError(f'kind is one of {", ".join(EXPLAINED_KINDS)}')
+        explanation = await self._explainer.explain(kind, name)
+        table = EXPLAINED_TABLES.get(kind)
+        state = self._control_view.read_fields(table, name) if table else {}
+        await send_json(call.send, 200, {**explanation, 'state': state})
 
     async def _get_teams(self, call: HttpCall) -> None:
         rules = self._rules_view.rules
@@ -131,5 +151,27 @@
         await self._operations.withdraw_key(call.path_parts['key_id'])
         await send_json(call.send, 200, {'key_id': call.path_parts['key_id'], 'state': 'withdrawn'})
 
-    def _count_usable(self, pool: str) -> int:
-        return len(self._fleet_view.list_usable(pool))
+    def _describe_pool(self, pool: PoolRules) -> dict[str, object]:
+        holder = self._control_view.read_fields(TABLE_CONTROL, pool.name).get('holder')
+        return {
+            'name': pool.name,
+            'spare': pool.spare,
+            'usable_vms': len(self._fleet_view.list_usable(pool.name)),
+            'held_by': holder,
+            **self._control_view.read_fields(TABLE_BUDGETS, pool.name),
+        }
+
+    def _describe_vm(self, vm: VmEntry) -> dict[str, object]:
+        fields = self._control_view.read_fields(TABLE_VMS, vm.name)
+        return {
+            'name': vm.name,
+            'pool': self._fleet_view.find_pool(vm),
+            'state': fields.get('state', 'no row'),
+            'home_pool': fields.get('home_pool', vm.pool),
+            'move_to': fields.get('move_to'),
+            'rack': vm.rack,
+            'data_centre': vm.data_centre,
+            'listed': vm.state,
+            'incarnation': vm.incarnation,
+            'last_maintained_s': fields.get('last_maintained_s'),
+        }
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -5,6 +5,8 @@
 import trio
 
 from comfreywind.clock import Clock, SystemClock
+from comfreywind.control.control_view import ControlView
+from comfreywind.control.make_control import make_control
 from comfreywind.entry.caller_app import CallerApp
 from comfreywind.entry.dispatcher import Dispatcher
 from comfreywind.entry.even_split_units import EvenSplitUnits
@@ -26,6 +28,9 @@
 from comfreywind.platform.object_client import ObjectClient
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.vm_list_client import VmListClient
+from comfreywind.report.decision_log import DecisionLog
+from comfreywind.report.decision_store import DecisionStore
+from comfreywind.report.explainer import Explainer
 from comfreywind.settings.entry import EntrySettings
 from comfreywind.signals import set_on_termination
 
@@ -42,12 +47,29 @@
     tables = TableClient(client)
     objects = ObjectClient(client)
     rules_view = RulesView(clock, timings.fresh_s)
-    fleet_view = FleetView()
+    fleet_view = FleetView(requires_row=True)
+    control_view = ControlView(clock)
+    decisions = DecisionLog(clock)
+    decision_store = DecisionStore(settings.name, decisions, tables, objects)
+    vm_list_client = VmListClient(client)
     hub = make_hub(settings, clock)
-    hub.set_heartbeat_source(HeartbeatSource(rules_view).make_heartbeat)
-    feed = Feed(tables, objects, rules_view, fleet_view, clock)
+    feed = Feed(tables, objects, rules_view, fleet_view, clock, control_view)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
     dispatcher = Dispatcher(rules_view, fleet_view, units, clock)
+    hub.set_heartbeat_source(HeartbeatSource(rules_view, dispatcher).make_heartbeat)
+    control = make_control(
+        hub.identity,
+        hub,
+        control_view,
+        rules_view,
+        fleet_view,
+        tables,
+        vm_list_client,
+        dispatcher.read_outstanding,
+        decisions,
+        clock,
+        timings,
+    )
     forwarder = Forwarder(
         dispatcher, TargetClient(TARGET_CONNECTIONS), units, clock, settings.buffer_limit_bytes
     )
@@ -60,6 +82,8 @@
         Operations(tables, objects),
         rules_view,
         fleet_view,
+        control_view,
+        Explainer(settings.name, decisions, decision_store, hub),
     )
     termination = trio.Event()
     shutdown = trio.Event()
@@ -67,9 +91,9 @@
         await nursery.start(set_on_termination, termination)
         await nursery.start(hub.run)
         nursery.start_soon(feed.run, timings.feed_interval_s)
-        nursery.start_soon(
-            poll_vm_list, VmListClient(client), fleet_view, timings.vm_list_interval_s
-        )
+        nursery.start_soon(poll_vm_list, vm_list_client, fleet_view, timings.vm_list_interval_s)
+        nursery.start_soon(control.run)
+        nursery.start_soon(decision_store.run, timings.decision_flush_s)
         async with trio.open_nursery() as servers:
             servers.start_soon(partial(serve_app, caller_app, settings.caller_address, shutdown))
             servers.start_soon(
@@ -77,8 +101,11 @@
             )
             await termination.wait()
             caller_app.stopping = True
+            await control.release()
             await trio.sleep(timings.drain_notice_s)
             shutdown.set()
+        with trio.move_on_after(timings.platform_timeout_s):
+            await decision_store.flush()
         nursery.cancel_scope.cancel()
 
 
--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -49,6 +49,10 @@
         self.conflicts = conflicts
 
 
+class VmReplacedError(PlatformError):
+    """The VM does not have the incarnation that a call named; nothing was done."""
+
+
 class ObjectExistsError(PlatformError):
     """An object of that name is in the store already."""
 
--- a/comfreywind/platform/table_names.py
+++ b/comfreywind/platform/table_names.py
@@ -11,6 +11,7 @@
 TABLE_CONTROL = 'control'
 TABLE_BUDGETS = 'budgets'
 TABLE_SUMMARIES = 'summaries'
+TABLE_DECISIONS = 'decisions'
 
 ROW_BUNDLE = 'bundle'
 ROW_VIEW = 'view'
--- a/comfreywind/platform/vm_list_client.py
+++ b/comfreywind/platform/vm_list_client.py
@@ -1,12 +1,15 @@
 """Client of the platform's VM list."""
 
-from comfreywind.errors import StoreUnavailableError
+from urllib.parse import quote
+
+from comfreywind.errors import StoreUnavailableError, VmReplacedError
 from comfreywind.http.client import HttpClient
 from comfreywind.platform.store_call import call_store
 from comfreywind.platform.vm_entry import VmEntry
 from comfreywind.settings.address import Address
 
 STATUS_ACCEPTED = 202
+STATUS_PRECONDITION_FAILED = 412
 
 
 class VmListClient:
@@ -21,9 +24,17 @@
         reply = await call_store(self._client, 'GET', '/v1/vms')
         return tuple(_parse_vm(vm) for vm in reply.read_json()['vms'])
 
-    async def reboot(self, name: str) -> None:
-        """Ask the platform to reboot the VM."""
-        reply = await call_store(self._client, 'POST', f'/v1/vms/{name}/reboot')
+    async def reboot(self, name: str, incarnation: int) -> None:
+        """Ask the platform to reboot the VM if it still has the incarnation (RFC 9110 If-Match).
+
+        Raises VmReplacedError when it has another one, so that a late call does not stop a VM that
+        has come back; StoreUnavailableError when the outcome is not known.
+        """
+        condition = [(b'if-match', f'"{incarnation}"'.encode())]
+        path = f'/v1/vms/{quote(name, safe="")}/reboot'
+        reply = await call_store(self._client, 'POST', path, headers=condition)
+        if reply.status == STATUS_PRECONDITION_FAILED:
+            raise VmReplacedError(f'VM {name} no longer has incarnation {incarnation}')
         if reply.status != STATUS_ACCEPTED:
             raise StoreUnavailableError(f'reboot of {name}: status {reply.status}')
 
--- a/comfreywind/report/decision_log.py
+++ b/comfreywind/report/decision_log.py
@@ -6,21 +6,40 @@
 from comfreywind.report.decision_record import DecisionRecord
 
 CAPACITY_RECORDS = 2000
+KIND_REQUEST = 'request'
 
 
 class DecisionLog:
-    """Keeps a bounded number of decisions, newest last."""
+    """Keeps a bounded number of decisions, newest last, and apart from them the newest requests.
+
+    Requests are many, so they have a ring of their own and are not flushed to the object store.
+    """
 
     def __init__(self, clock: Clock, capacity_records: int = CAPACITY_RECORDS) -> None:
         """Start empty."""
         self._clock = clock
         self._records: deque[DecisionRecord] = deque(maxlen=capacity_records)
+        self._requests: deque[DecisionRecord] = deque(maxlen=capacity_records)
+        self._unflushed_count = 0
 
     def record(self, kind: str, subject: str, cause: str, **inputs: object) -> None:
         """Keep a decision; the oldest one is dropped when the log is full."""
         texts = {name: str(figure) for name, figure in inputs.items()}
-        self._records.append(DecisionRecord(self._clock.read_utc(), kind, subject, cause, texts))
+        decision = DecisionRecord(self._clock.read_utc(), kind, subject, cause, texts)
+        if kind == KIND_REQUEST:
+            self._requests.append(decision)
+            return
+        self._records.append(decision)
+        self._unflushed_count = min(self._unflushed_count + 1, len(self._records))
 
     def find(self, subject: str) -> list[DecisionRecord]:
         """Return the decisions about the subject, oldest first."""
-        return [record for record in self._records if record.subject == subject]
+        return [record for record in (*self._records, *self._requests) if record.subject == subject]
+
+    def list_unflushed(self) -> list[DecisionRecord]:
+        """Return the decisions that are not yet in the object store, oldest first."""
+        return list(self._records)[len(self._records) - self._unflushed_count :]
+
+    def mark_flushed(self, count: int) -> None:
+        """Note that so many of the oldest unflushed decisions are in the object store."""
+        self._unflushed_count = max(0, self._unflushed_count - count)
--- a/comfreywind/report/decision_record.py
+++ b/comfreywind/report/decision_record.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from datetime import datetime
+from typing import Any
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,3 +18,14 @@
     subject: str
     cause: str
     inputs: dict[str, str] = field(default_factory=dict)
+
+    def to_document(self, entry: str) -> dict[str, Any]:
+        """Return the record as a JSON document that names the entry which decided."""
+        return {
+            'at': self.at.isoformat(timespec='milliseconds'),
+            'entry': entry,
+            'kind': self.kind,
+            'subject': self.subject,
+            'cause': self.cause,
+            'inputs': self.inputs,
+        }
--- a/comfreywind/settings/platform_stand_in.py
+++ b/comfreywind/settings/platform_stand_in.py
@@ -27,4 +27,5 @@
     address: AddressField
     log_format: LogFormat = 'human'
     vm_list_lag_s: float = Field(default=1, ge=0)
+    reboot_s: float = Field(default=0.5, ge=0)
     vms: tuple[VmSettings, ...] = ()
--- a/comfreywind/stand_ins/executor_app.py
+++ b/comfreywind/stand_ins/executor_app.py
@@ -22,6 +22,10 @@
     """Ends a response in the middle of its body."""
 
 
+class RebootError(Exception):
+    """Ends a request because the executor reboots."""
+
+
 class ExecutorApp:
     """Runs `/work` in a slot for the asked time and answers with the asked number of bytes."""
 
@@ -32,6 +36,8 @@
         self._clock = clock
         self._busy_slots = 0
         self._faults = TargetFaults()
+        self._rebooting_until_s = clock.read_monotonic_s()
+        self._task_scopes: set[trio.CancelScope] = set()
         self._silencer = ConnectionSilencer()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -42,6 +48,9 @@
         if scope['path'] == '/stand-in/faults':
             await self._put_faults(receive, send)
             return
+        if scope['path'] == '/stand-in/reboot':
+            await self._reboot(receive, send)
+            return
         await self._serve_work(scope, receive, send)
 
     async def _put_faults(self, receive: Receive, send: Send) -> None:
@@ -51,9 +60,22 @@
             self._silencer.silence_open()
         await send_json(send, 200, self._faults.model_dump())
 
+    async def _reboot(self, receive: Receive, send: Send) -> None:
+        """Interrupt all tasks and run none for the asked time."""
+        document = await read_json(receive, BODY_LIMIT_BYTES)
+        self._rebooting_until_s = self._clock.read_monotonic_s() + float(document['duration_s'])
+        interrupted_count = len(self._task_scopes)
+        self._run_log.interrupted_count += interrupted_count
+        for scope in self._task_scopes:
+            scope.cancel()
+        await send_json(send, 200, {'interrupted': interrupted_count})
+
     async def _serve_work(self, scope: Scope, receive: Receive, send: Send) -> None:
         if self._silencer.is_silent(scope) or self._faults.freeze:
             await trio.sleep_forever()
+        if self._clock.read_monotonic_s() < self._rebooting_until_s:
+            self._run_log.received_while_rebooting_count += 1
+            raise RebootError('the executor reboots')
         body = await read_body(receive, BODY_LIMIT_BYTES)
         headers = {name.decode(): header.decode() for name, header in scope['headers']}
         refusal = self._find_refusal(headers)
@@ -84,14 +106,10 @@
         lease_s = float('inf')
         if run_until:
             lease_s = max(0, float(run_until) - self._clock.read_utc().timestamp())
-        self._busy_slots += 1
-        self._run_log.start(request_id, team)
-        try:
-            with trio.move_on_after(lease_s) as lease:
-                await trio.sleep(duration_s)
-        finally:
-            self._busy_slots -= 1
-            self._run_log.finish(team)
+        with trio.move_on_after(lease_s) as lease, trio.CancelScope() as reboot:
+            await self._hold_slot(request_id, team, duration_s, reboot)
+        if reboot.cancelled_caught:
+            raise RebootError('a reboot interrupted the task')
         if lease.cancelled_caught:
             await send_json(send, 500, {'error': 'the task was stopped when its lease ended'})
             return
@@ -104,6 +122,22 @@
         }
         await self._send_answer(answer, query, send)
 
+    async def _hold_slot(
+        self, request_id: str, team: str, duration_s: float, reboot: trio.CancelScope
+    ) -> None:
+        self._task_scopes.add(reboot)
+        self._busy_slots += 1
+        self._run_log.start(request_id, team)
+        try:
+            await trio.sleep(duration_s)
+        finally:
+            self._leave_slot(team, reboot)
+
+    def _leave_slot(self, team: str, reboot: trio.CancelScope) -> None:
+        self._run_log.finish(team)
+        self._busy_slots -= 1
+        self._task_scopes.discard(reboot)
+
     async def _send_answer(
         self, answer: dict[str, object], query: dict[str, list[str]], send: Send
     ) -> None:
--- a/comfreywind/stand_ins/platform_app.py
+++ b/comfreywind/stand_ins/platform_app.py
@@ -1,35 +1,44 @@
 """HTTP side of the platform stand-in: table service, object store and VM list."""
 
 from collections import deque
+from contextlib import suppress
 from typing import Any
 from urllib.parse import parse_qs
 
+import httpcore
 import trio
 
 from comfreywind.clock import Clock
 from comfreywind.http.asgi_body import BodyMalformedError, read_body, read_json
 from comfreywind.http.asgi_reply import send_json, send_reply
 from comfreywind.http.asgi_types import Receive, Scope, Send
+from comfreywind.http.client import HttpClient
 from comfreywind.http.routes import HttpCall, find_route, make_route
+from comfreywind.settings.address import Address
 from comfreywind.stand_ins.connection_silencer import ConnectionSilencer
 from comfreywind.stand_ins.faults import PlatformFaults
 from comfreywind.stand_ins.table_store import RowWrite, TableStore
 
 BODY_LIMIT_BYTES = 16_777_216
-REBOOT_S = 0.5
+REBOOT_CALL_TIMEOUT_S = 2
 VmDocument = dict[str, Any]
 
 
 class PlatformApp:
     """The platform's services in memory, with faults."""
 
-    def __init__(self, clock: Clock, vms: list[VmDocument], vm_list_lag_s: float) -> None:
+    def __init__(
+        self, clock: Clock, vms: list[VmDocument], vm_list_lag_s: float, reboot_s: float
+    ) -> None:
         """Start with empty tables and the given VM list."""
         self._clock = clock
         self._tables = TableStore()
         self._objects: dict[str, bytes] = {}
         self._vms = {vm['name']: vm for vm in vms}
         self._vm_list_lag_s = vm_list_lag_s
+        self._reboot_s = reboot_s
+        self._reboots_end_s: dict[str, float] = {}
+        self._reboot_log: list[dict[str, Any]] = []
         self._vm_lists: deque[tuple[float, list[VmDocument]]] = deque()
         self._record_vm_list()
         self._faults = PlatformFaults()
@@ -45,6 +54,9 @@
             make_route('PUT', '/stand-in/faults', self._put_faults),
             make_route('PUT', '/stand-in/vms', self._put_vms),
             make_route('GET', '/stand-in/counters', self._get_counters),
+            make_route('GET', '/stand-in/reboots', self._get_reboots),
+            make_route('GET', '/stand-in/tables/{table}', self._get_table),
+            make_route('GET', '/stand-in/vms', self._get_true_vms),
         ]
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -120,19 +132,53 @@
         await send_reply(call.send, 200, [], body)
 
     async def _get_vms(self, call: HttpCall) -> None:
+        self._finish_reboots()
         as_of_s, vms = self._find_lagging_list()
         await send_json(call.send, 200, {'as_of': as_of_s, 'vms': vms})
 
     async def _post_reboot(self, call: HttpCall) -> None:
+        self._finish_reboots()
         vm = self._vms.get(call.path_parts['name'])
         if vm is None:
             await send_json(call.send, 404, {'error': 'no such VM'})
             return
-        vm['state'] = 'live'
-        vm['incarnation'] += 1
-        self._record_vm_list()
+        condition = dict(call.scope['headers']).get(b'if-match', b'').decode()
+        if condition not in {'', f'"{vm["incarnation"]}"'}:
+            await send_json(call.send, 412, {'error': f'the incarnation is {vm["incarnation"]}'})
+            return
+        if vm['name'] not in self._reboots_end_s:
+            await self._begin_reboot(vm)
+        await self._maybe_lose_reply()
         await send_json(call.send, 202, {'name': vm['name']})
 
+    async def _begin_reboot(self, vm: VmDocument) -> None:
+        """Stop the VM's executor, which interrupts what runs there; it is back after a while."""
+        now_s = self._clock.read_monotonic_s()
+        vm['state'] = 'leaving'
+        self._reboots_end_s[vm['name']] = now_s + self._reboot_s
+        self._record_vm_list()
+        client = HttpClient(Address(vm['address'], vm['port']), REBOOT_CALL_TIMEOUT_S)
+        interrupted_count: int | None = None
+        with suppress(httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError):
+            reply = await client.call('POST', '/stand-in/reboot', {'duration_s': self._reboot_s})
+            interrupted_count = reply.read_json()['interrupted']
+        await client.close()
+        self._reboot_log.append(
+            {'name': vm['name'], 'at_s': now_s, 'interrupted': interrupted_count}
+        )
+
+    def _finish_reboots(self) -> None:
+        now_s = self._clock.read_monotonic_s()
+        for name, end_s in list(self._reboots_end_s.items()):
+            if now_s >= end_s:
+                self._reboots_end_s.pop(name)
+                self._vms[name].update(state='live', incarnation=self._vms[name]['incarnation'] + 1)
+                self._record_vm_list()
+
+    async def _get_reboots(self, call: HttpCall) -> None:
+        self._finish_reboots()
+        await send_json(call.send, 200, {'reboots': self._reboot_log})
+
     async def _put_faults(self, call: HttpCall) -> None:
         document = await read_json(call.receive, BODY_LIMIT_BYTES)
         self._faults = PlatformFaults.model_validate(document)
@@ -144,7 +190,11 @@
 
     async def _put_vms(self, call: HttpCall) -> None:
         document = await read_json(call.receive, BODY_LIMIT_BYTES)
+        self._finish_reboots()
         self._vms = {vm['name']: vm for vm in document['vms']}
+        self._reboots_end_s = {
+            name: end_s for name, end_s in self._reboots_end_s.items() if name in self._vms
+        }
         self._record_vm_list()
         await send_json(call.send, 200, {'vms': len(self._vms)})
 
@@ -155,6 +205,16 @@
         }
         await send_json(call.send, 200, counters)
 
+    async def _get_table(self, call: HttpCall) -> None:
+        """Send all rows of a table, so that tests can sample states even while it is down."""
+        table = call.path_parts['table']
+        rows = {row['key']: row['value'] for row in self._tables.read_changes(0, {table})}
+        await send_json(call.send, 200, {'rows': rows})
+
+    async def _get_true_vms(self, call: HttpCall) -> None:
+        self._finish_reboots()
+        await send_json(call.send, 200, {'vms': list(self._vms.values())})
+
     async def _maybe_lose_reply(self) -> None:
         if self._faults.lose_replies:
             self._faults.lose_replies -= 1
--- a/comfreywind/stand_ins/run_log.py
+++ b/comfreywind/stand_ins/run_log.py
@@ -6,11 +6,17 @@
 
 @dataclass(slots=True)
 class RunLog:
-    """Runs by request id, and what runs now and ran at most at once, by team."""
+    """Runs by request id, and what runs now and ran at most at once, by team.
+
+    `interrupted_count` counts tasks that a reboot cut off, `received_while_rebooting_count`
+    requests that reached an executor during its reboot.
+    """
 
     runs: Counter[str] = field(default_factory=Counter)
     running: Counter[str] = field(default_factory=Counter)
     highest_running: Counter[str] = field(default_factory=Counter)
+    interrupted_count: int = 0
+    received_while_rebooting_count: int = 0
 
     def start(self, request_id: str, team: str) -> None:
         """Count the start of a run."""
@@ -28,4 +34,8 @@
             'runs': dict(self.runs),
             'running': dict(self.running),
             'highest_running': dict(self.highest_running),
+            'reboots': {
+                'interrupted': self.interrupted_count,
+                'received_while_rebooting': self.received_while_rebooting_count,
+            },
         }
--- a/comfreywind/stand_ins/run_platform.py
+++ b/comfreywind/stand_ins/run_platform.py
@@ -16,7 +16,7 @@
     """Serve the platform's services until the process is told to end."""
     configure_logs(settings.log_format)
     vms = [_make_vm_document(vm.model_dump()) for vm in settings.vms]
-    app = PlatformApp(SystemClock(), vms, settings.vm_list_lag_s)
+    app = PlatformApp(SystemClock(), vms, settings.vm_list_lag_s, settings.reboot_s)
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(set_on_termination, shutdown)
