--- a/comfreywind/bundle/parse.py
+++ b/comfreywind/bundle/parse.py
@@ -19,7 +19,10 @@
     _raise_faults(source, find_overlay_faults(bundle_source))
     merged_document = apply_overlays(bundle_source)
     bundle = validate_model(BundleDocument, merged_document, source, BundleError)
-    _raise_faults(source, [*_find_queue_faults(bundle), *_find_objective_faults(bundle)])
+    _raise_faults(
+        source,
+        [*_find_pool_faults(bundle), *_find_queue_faults(bundle), *_find_objective_faults(bundle)],
+    )
     return bundle
 
 
@@ -43,6 +46,12 @@
         raise BundleError(f'{source}: {reasons}')
 
 
+def _find_pool_faults(bundle: BundleDocument) -> Iterator[str]:
+    for name, pool in bundle.pools.items():
+        if pool.maintenance_lead_s >= pool.maintenance_period_s:
+            yield f'pools.{name}.maintenance_lead_s: not shorter than the period'
+
+
 def _find_queue_faults(bundle: BundleDocument) -> Iterator[str]:
     for name, queue in bundle.queues.items():
         pool = bundle.pools.get(queue.pool)
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -103,6 +103,13 @@
         self._return_unit(placement)
         self._start_waiting(pool)
 
+    def read_outstanding(self) -> dict[str, int]:
+        """Return the number of requests that hold a slot, by target, without zeros."""
+        outstanding: dict[str, int] = {}
+        for pool in self._pools.values():
+            outstanding.update(pool.targets.own_outstanding)
+        return outstanding
+
     def wake_team(self, team: str) -> None:
         """Start what waits for a unit of the team."""
         pool_names = self._unit_demand.pop_pools(team)
@@ -123,10 +130,8 @@
     def make_report(self) -> LoadReport:
         """Return the load of this entry for its peers."""
         loads = {name: pool.make_loads() for name, pool in self._pools.items()}
-        outstanding: dict[str, int] = {}
-        for pool in self._pools.values():
-            outstanding.update(pool.targets.own_outstanding)
-        return LoadReport({name: teams for name, teams in loads.items() if teams}, outstanding)
+        named_loads = {name: teams for name, teams in loads.items() if teams}
+        return LoadReport(named_loads, self.read_outstanding())
 
     def apply_reports(self, reports: Mapping[str, LoadReport]) -> None:
         """Take the recent reports of all peers and divide the pools anew."""
--- a/comfreywind/entry/feed.py
+++ b/comfreywind/entry/feed.py
@@ -5,6 +5,7 @@
 import trio
 
 from comfreywind.clock import Clock
+from comfreywind.control.control_view import CONTROL_TABLES, ControlView
 from comfreywind.decisions.keys import TeamKey
 from comfreywind.decisions.versions import is_newer_version
 from comfreywind.entry.bundle_loading import apply_offer, make_offer
@@ -16,7 +17,7 @@
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.table_names import ROW_BUNDLE, TABLE_CURRENT, TABLE_KEYS, TABLE_VMS
 
-FOLLOWED_TABLES = (TABLE_CURRENT, TABLE_KEYS, TABLE_VMS)
+FOLLOWED_TABLES = (TABLE_CURRENT, TABLE_KEYS, *CONTROL_TABLES)
 
 log = logging.getLogger('comfreywind.feed')
 
@@ -31,6 +32,7 @@
         rules_view: RulesView,
         fleet_view: FleetView,
         clock: Clock,
+        control_view: ControlView | None = None,
     ) -> None:
         """Use the given clients and views."""
         self._tables = tables
@@ -38,6 +40,7 @@
         self._rules_view = rules_view
         self._fleet_view = fleet_view
         self._clock = clock
+        self._control_view = control_view or ControlView(clock)
 
     async def run(self, interval_s: float) -> None:
         """Poll for ever; a failed read leaves the views as they are."""
@@ -54,6 +57,7 @@
         changes = await self._tables.read_changes(self._rules_view.sequence, FOLLOWED_TABLES)
         for row in changes.rows:
             await self._apply_row(row)
+        self._control_view.apply_changes(changes)
         self._rules_view.sequence = changes.sequence
         self._rules_view.confirm(started_s)
 
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -5,6 +5,8 @@
 import trio
 
 from comfreywind.clock import Clock, SystemClock
+from comfreywind.control.control_view import ControlView
+from comfreywind.control.make_control import make_control
 from comfreywind.entry.caller_app import CallerApp
 from comfreywind.entry.confirmations import Confirmations
 from comfreywind.entry.dispatch_policy import make_policy
@@ -37,6 +39,9 @@
 from comfreywind.report.burn_reporter import BurnReporter
 from comfreywind.report.result_recorder import ResultRecorder
 from comfreywind.report.summary_store import SummaryStore
+from comfreywind.report.decision_log import DecisionLog
+from comfreywind.report.decision_store import DecisionStore
+from comfreywind.report.explainer import Explainer
 from comfreywind.settings.entry import EntrySettings
 from comfreywind.signals import set_on_termination
 
@@ -53,17 +58,34 @@
     tables = TableClient(client)
     objects = ObjectClient(client)
     rules_view = RulesView(clock, timings.fresh_s)
-    fleet_view = FleetView()
+    fleet_view = FleetView(requires_row=True)
+    control_view = ControlView(clock)
+    decisions = DecisionLog(clock)
+    decision_store = DecisionStore(settings.name, decisions, tables, objects)
+    vm_list_client = VmListClient(client)
     hub = make_hub(settings, clock)
-    hub.set_heartbeat_source(HeartbeatSource(rules_view, fleet_view).make_heartbeat)
     propagation = Propagation(
         hub, rules_view, fleet_view, clock, timings, push=settings.push_changes
     )
-    feed = Feed(tables, objects, rules_view, fleet_view, clock)
+    feed = Feed(tables, objects, rules_view, fleet_view, clock, control_view)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
     policy = make_policy(settings.policy)
     dispatcher = Dispatcher(rules_view, fleet_view, units, clock, policy, settings.data_centre)
     load_exchange = LoadExchange(hub, dispatcher, clock)
+    hub.set_heartbeat_source(HeartbeatSource(rules_view, fleet_view, dispatcher).make_heartbeat)
+    control = make_control(
+        hub.identity,
+        hub,
+        control_view,
+        rules_view,
+        fleet_view,
+        tables,
+        vm_list_client,
+        dispatcher.read_outstanding,
+        decisions,
+        clock,
+        timings,
+    )
     forwarder = Forwarder(
         dispatcher, TargetClient(TARGET_CONNECTIONS), units, clock, settings.buffer_limit_bytes
     )
@@ -86,6 +108,8 @@
         propagation,
         Confirmations(hub, rules_view, clock, timings.confirm_wait_s),
         MemberStatus(hub, clock),
+        control_view,
+        Explainer(settings.name, decisions, decision_store, hub),
     )
     termination = trio.Event()
     shutdown = trio.Event()
@@ -95,17 +119,20 @@
         nursery.start_soon(feed.run, timings.feed_interval_s)
         nursery.start_soon(summaries.run, recorder, timings.summary_interval_s)
         nursery.start_soon(load_exchange.run, timings.heartbeat_interval_s)
-        nursery.start_soon(
-            poll_vm_list, VmListClient(client), fleet_view, timings.vm_list_interval_s
-        )
+        nursery.start_soon(poll_vm_list, vm_list_client, fleet_view, timings.vm_list_interval_s)
+        nursery.start_soon(control.run)
+        nursery.start_soon(decision_store.run, timings.decision_flush_s)
         async with trio.open_nursery() as servers:
             servers.start_soon(partial(serve_app, observed_app, settings.caller_address, shutdown))
             servers.start_soon(
                 partial(serve_app, operator_app, settings.operator_address, shutdown)
             )
             await termination.wait()
+            await control.release()
             await stop_serving(caller_app, timings)
             shutdown.set()
+        with trio.move_on_after(timings.platform_timeout_s):
+            await decision_store.flush()
         nursery.cancel_scope.cancel()
 
 
