Read the VM list conditionally and apply VM rows in batches

Cause, from a cProfile run of an entry with 2,000 VMs and 3 entries: 21.5 of 23.1 busy seconds went into FleetView.group_usable, because every VM row of a batch called the listeners and each call costs time in proportion to the number of VMs. The traffic was the VM list, read whole every second.

Ruled out: the peer streams (0.5 s of the same run).

Rows of one poll or one peer message are applied together; the VM list is read with its entity tag and large replies are compressed.

--- a/comfreywind/entry/feed.py
+++ b/comfreywind/entry/feed.py
@@ -55,6 +55,7 @@
         """Read and apply all changes since the last poll; raise PlatformError on failure."""
         started_s = self._clock.read_monotonic_s()
         changes = await self._tables.read_changes(self._rules_view.sequence, FOLLOWED_TABLES)
+        self._fleet_view.apply_vm_rows(row for row in changes.rows if row.table == TABLE_VMS)
         for row in changes.rows:
             await self._apply_row(row)
         self._control_view.apply_changes(changes)
@@ -64,8 +65,6 @@
     async def _apply_row(self, row: Row) -> None:
         if row.table == TABLE_KEYS:
             self._rules_view.apply_key(parse_key_row(row))
-        elif row.table == TABLE_VMS:
-            self._fleet_view.apply_vm_row(row)
         elif row.table == TABLE_CURRENT and row.key == ROW_BUNDLE and row.value is not None:
             await self._load_bundle(row.value['version'], row.value['digest'])
 
--- a/comfreywind/entry/fleet_view.py
+++ b/comfreywind/entry/fleet_view.py
@@ -38,18 +38,16 @@
             self._listed = listed
             self._tell_listeners()
 
-    def apply_vm_row(self, row: Row) -> None:
-        """Take a newer row of the table `vms`; an older version never replaces a newer one.
+    def apply_vm_rows(self, rows: Iterable[Row]) -> None:
+        """Take newer rows of the table `vms`; an older version never replaces a newer one.
 
-        A deleted row is kept with its version, so that an older state of it is not taken again.
+        A deleted row is kept with its version, so that an older state of it is not taken again. The
+        listeners are called once for all rows, because each call costs time in proportion to the
+        number of VMs.
         """
-        known = self._rows.get(row.key)
-        known_version = known.version if known else 0
-        if row.version <= known_version:
-            return
-        self._rows[row.key] = row
-        self.rows_digest = exchange_row(self.rows_digest, row.key, known_version, row.version)
-        self._tell_listeners()
+        changes = [self._apply_row(row) for row in rows]
+        if any(changes):
+            self._tell_listeners()
 
     def list_rows(self) -> list[Row]:
         """Return all rows of the table `vms`, those of deleted rows with the value None."""
@@ -88,6 +86,15 @@
             groups.setdefault(self.find_pool(vm), []).append((vm, self._read_state(vm)))
         return {pool: _select_usable(vms) for pool, vms in groups.items()}
 
+    def _apply_row(self, row: Row) -> bool:
+        known = self._rows.get(row.key)
+        known_version = known.version if known else 0
+        if row.version <= known_version:
+            return False
+        self._rows[row.key] = row
+        self.rows_digest = exchange_row(self.rows_digest, row.key, known_version, row.version)
+        return True
+
     def _tell_listeners(self) -> None:
         for receive_change in self._listeners:
             receive_change()
--- a/comfreywind/entry/propagation.py
+++ b/comfreywind/entry/propagation.py
@@ -109,8 +109,7 @@
         _remember(self._merged_keys, message.keys_digest)
 
     def _receive_row_list(self, sender: PeerIdentity, message: VmRowList) -> None:
-        for row in _read_rows(message):
-            self._fleet_view.apply_vm_row(row)
+        self._fleet_view.apply_vm_rows(_read_rows(message))
         _remember(self._merged_vms, message.vms_digest)
 
     def _receive_vm_list(self, sender: PeerIdentity, message: VmList) -> None:
--- a/comfreywind/entry/vm_list_poller.py
+++ b/comfreywind/entry/vm_list_poller.py
@@ -15,7 +15,13 @@
     """Read the list in a fixed period for ever; a failed read keeps the old list."""
     while True:
         try:
-            fleet_view.apply_vm_list(await client.read_vms())
+            await _poll_once(client, fleet_view)
         except PlatformError as error:
             log.warning("the VM list can't be read: %s", error)
         await trio.sleep(interval_s)
+
+
+async def _poll_once(client: VmListClient, fleet_view: FleetView) -> None:
+    vms = await client.read_vms()
+    if vms is not None:
+        fleet_view.apply_vm_list(vms)
--- a/comfreywind/http/client.py
+++ b/comfreywind/http/client.py
@@ -1,5 +1,6 @@
 """Calls other services over HTTP with httpcore."""
 
+import gzip
 import json
 from dataclasses import dataclass
 from typing import Any
@@ -10,6 +11,7 @@
 from comfreywind.settings.address import Address
 
 HeaderItems = list[tuple[bytes, bytes]]
+COMMON_HEADERS = ((b'content-type', b'application/json'), (b'accept-encoding', b'gzip'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +22,13 @@
     headers: HeaderItems
     body: bytes
 
+    def find_header(self, name: bytes) -> bytes:
+        """Return the first header of that lower-case name, or an empty text."""
+        for header_name, text in self.headers:
+            if header_name.lower() == name:
+                return text
+        return b''
+
     def read_json(self) -> Any:
         """Return the body parsed as JSON; raise ValueError when it is not JSON."""
         return json.loads(self.body)
@@ -48,7 +57,7 @@
     ) -> HttpReply:
         """Return the reply; raise trio.TooSlowError or an httpcore error when there is none."""
         body = b'' if document is None else json.dumps(document).encode()
-        all_headers = [*(headers or []), (b'content-type', b'application/json')]
+        all_headers = [*(headers or []), *COMMON_HEADERS]
         pool = self._pool
         try:
             with trio.fail_after(self._timeout_s):
@@ -58,7 +67,7 @@
         except trio.TooSlowError:
             await self._replace_pool(pool)
             raise
-        return HttpReply(response.status, list(response.headers), response.content)
+        return _make_reply(response)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -75,3 +84,10 @@
         return httpcore.AsyncConnectionPool(
             max_connections=self._connection_limit, keepalive_expiry=30
         )
+
+
+def _make_reply(response: httpcore.Response) -> HttpReply:
+    reply = HttpReply(response.status, list(response.headers), response.content)
+    if reply.find_header(b'content-encoding') != b'gzip':
+        return reply
+    return HttpReply(reply.status, reply.headers, gzip.decompress(reply.body))
--- a/comfreywind/platform/vm_list_client.py
+++ b/comfreywind/platform/vm_list_client.py
@@ -9,6 +9,7 @@
 from comfreywind.settings.address import Address
 
 STATUS_ACCEPTED = 202
+STATUS_NOT_MODIFIED = 304
 STATUS_PRECONDITION_FAILED = 412
 
 
@@ -18,11 +19,21 @@
     def __init__(self, client: HttpClient) -> None:
         """Use the given client; its timeout holds for each call."""
         self._client = client
+        self._entity_tag = b''
 
-    async def read_vms(self) -> tuple[VmEntry, ...]:
-        """Return the VMs on the list."""
-        reply = await call_store(self._client, 'GET', '/v1/vms')
-        return tuple(_parse_vm(vm) for vm in reply.read_json()['vms'])
+    async def read_vms(self) -> tuple[VmEntry, ...] | None:
+        """Return the VMs on the list, or None when it has not changed since the last read.
+
+        The entity tag (RFC 9110 section 13.1.2) saves most of the traffic: at 7,100 VMs a list has
+        more than a megabyte and changes about once in 50 s.
+        """
+        condition = [(b'if-none-match', self._entity_tag)] if self._entity_tag else []
+        reply = await call_store(self._client, 'GET', '/v1/vms', headers=condition)
+        if reply.status == STATUS_NOT_MODIFIED:
+            return None
+        vms = tuple(_parse_vm(vm) for vm in reply.read_json()['vms'])
+        self._entity_tag = reply.find_header(b'etag')
+        return vms
 
     async def reboot(self, name: str, incarnation: int) -> None:
         """Ask the platform to reboot the VM if it still has the incarnation (RFC 9110 If-Match).
--- a/comfreywind/stand_ins/platform_app.py
+++ b/comfreywind/stand_ins/platform_app.py
@@ -10,7 +10,7 @@
 
 from comfreywind.clock import Clock
 from comfreywind.http.asgi_body import BodyMalformedError, read_body, read_json
-from comfreywind.http.asgi_reply import send_json, send_reply
+from comfreywind.http.asgi_reply import send_gzip_json, send_json, send_reply
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.http.client import HttpClient
 from comfreywind.http.routes import HttpCall, find_route, make_route
@@ -96,7 +96,8 @@
         tables = set(query.get('tables', [''])[0].split(','))
         after_sequence = int(query.get('after_sequence', ['0'])[0])
         rows = self._tables.read_changes(after_sequence, tables)
-        await send_json(call.send, 200, {'sequence': self._tables.sequence, 'rows': rows})
+        document = {'sequence': self._tables.sequence, 'rows': rows}
+        await send_gzip_json(call.scope, call.send, document)
 
     async def _post_transaction(self, call: HttpCall) -> None:
         document = await read_json(call.receive, BODY_LIMIT_BYTES)
@@ -134,7 +135,13 @@
     async def _get_vms(self, call: HttpCall) -> None:
         self._finish_reboots()
         as_of_s, vms = self._find_lagging_list()
-        await send_json(call.send, 200, {'as_of': as_of_s, 'vms': vms})
+        entity_tag = f'"{as_of_s}"'.encode()
+        headers = dict(call.scope['headers'])
+        if headers.get(b'if-none-match') == entity_tag:
+            await send_reply(call.send, 304, [(b'etag', entity_tag)], b'')
+            return
+        document = {'as_of': as_of_s, 'vms': vms}
+        await send_gzip_json(call.scope, call.send, document, [(b'etag', entity_tag)])
 
     async def _post_reboot(self, call: HttpCall) -> None:
         self._finish_reboots()
