--- /dev/null
+++ b/comfreywind/decisions/portions/row_changes.py
@@ -0,0 +1,78 @@
+"""Changes of a portion row; each one is written on condition of the row's version."""
+
+from dataclasses import replace
+
+from comfreywind.decisions.portions.holder_name import is_settled, split_flow, split_holder
+from comfreywind.decisions.portions.portion_row import PortionRow
+from comfreywind.decisions.portions.reclaim import Reclaim
+from comfreywind.decisions.portions.totals import Totals, add_total, raise_total, read_total
+
+
+def record_flow(row: PortionRow, flow: str, total: int) -> PortionRow:
+    """Return the row with all units of the flow up to the total moved to the receiver.
+
+    A flow with a settled party is left out. Its units are in `reclaiming` with the giver: either the
+    flow was reported and recorded when the giver was fenced, or the receiver had ended before that, so
+    that the wait for the giver's units covers the receiver's work.
+    """
+    units = total - int(read_total(row.flows, flow))
+    giver, receiver = split_flow(flow)
+    if units <= 0 or is_settled(row.settled, giver) or is_settled(row.settled, receiver):
+        return row
+    recorded = add_total(add_total(row.recorded, receiver, units), giver, -units)
+    return replace(row, recorded=recorded, flows=raise_total(row.flows, flow, total))
+
+
+def take_free_units(row: PortionRow, holder: str, wanted_units: int) -> PortionRow:
+    """Return the row with at most half of the free units, but at least one, given to the holder."""
+    if row.free_units <= 0 or wanted_units <= 0:
+        return row
+    units = min(wanted_units, max(1, row.free_units // 2))
+    return replace(row, recorded=add_total(row.recorded, holder, units))
+
+
+def return_units(row: PortionRow, holder: str, units: int) -> PortionRow:
+    """Return the row with units of the holder made free."""
+    return replace(row, recorded=add_total(row.recorded, holder, -units))
+
+
+def set_ceiling(row: PortionRow, ceiling_units: int, bundle_version: int) -> PortionRow:
+    """Return the row with the ceiling of the bundle, unless the row has that of a later one."""
+    if bundle_version <= row.ceiling_version or ceiling_units == row.ceiling_units:
+        return row
+    return replace(row, ceiling_units=ceiling_units, ceiling_version=bundle_version)
+
+
+def settle_holder(row: PortionRow, holder: str, flows: Totals, wait_s: float) -> PortionRow:
+    """Return the row with all flows of a fenced holder recorded and its units to be reclaimed.
+
+    A negative remainder comes from units received of a member that was lost as well; it is dropped,
+    so that the units stay counted with that member.
+    """
+    for flow, total in flows:
+        row = record_flow(row, flow, int(total))
+    units = int(read_total(row.recorded, holder))
+    name, incarnation = split_holder(holder)
+    reclaiming = row.reclaiming
+    if units > 0 and wait_s > 0:
+        reclaiming = (*reclaiming, Reclaim(holder, units, wait_s))
+    return replace(
+        row,
+        recorded=tuple(pair for pair in row.recorded if pair[0] != holder),
+        flows=tuple(pair for pair in row.flows if holder not in split_flow(pair[0])),
+        reclaiming=reclaiming,
+        settled=raise_total(row.settled, name, incarnation),
+    )
+
+
+def finish_reclaim(row: PortionRow, reclaim: Reclaim) -> PortionRow:
+    """Return the row with the units of the reclaim free."""
+    kept = tuple(record for record in row.reclaiming if record != reclaim)
+    return replace(row, reclaiming=kept)
+
+
+def mentions_holder(row: PortionRow, holder: str) -> bool:
+    """Return whether the holder has units or flows in the row."""
+    if any(name == holder for name, _ in row.recorded):
+        return True
+    return any(holder in split_flow(flow) for flow, _ in row.flows)
--- /dev/null
+++ b/comfreywind/decisions/portions/totals.py
@@ -0,0 +1,35 @@
+"""Small sorted maps from a name to a number, hashable so that the model checker can store them."""
+
+Number = int | float
+Totals = tuple[tuple[str, Number], ...]
+
+
+def read_total(totals: Totals, key: str) -> Number:
+    """Return the number under the key, 0 for a missing key."""
+    for name, number in totals:
+        if name == key:
+            return number
+    return 0
+
+
+def set_total(totals: Totals, key: str, number: Number) -> Totals:
+    """Return the map with the number under the key; 0 removes the key."""
+    others = [pair for pair in totals if pair[0] != key]
+    if number != 0:
+        others.append((key, number))
+    return tuple(sorted(others))
+
+
+def raise_total(totals: Totals, key: str, number: Number) -> Totals:
+    """Return the map with at least the number under the key."""
+    return set_total(totals, key, max(number, read_total(totals, key)))
+
+
+def add_total(totals: Totals, key: str, number: Number) -> Totals:
+    """Return the map with the number added under the key."""
+    return set_total(totals, key, read_total(totals, key) + number)
+
+
+def sum_totals(totals: Totals) -> int:
+    """Return the sum of all numbers."""
+    return int(sum(number for _, number in totals))
--- /dev/null
+++ b/tests/model/fence_model.py
@@ -0,0 +1,316 @@
+"""Specification of sessions, promises and fences for the model checker.
+
+A holder H has the only unit of a ceiling. P can grant it promises. R fences it, reclaims the unit and
+uses it. Every decision is taken by the functions that run in production. The time is always `NOW`;
+a tick moves all deadlines back, so that the number of states is finite.
+"""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from comfreywind.decisions.portions.fence_case import (
+    FenceCase,
+    add_agreement,
+    is_expired,
+    list_missing,
+)
+from comfreywind.decisions.portions.guard import Guard, is_session_valid
+from comfreywind.decisions.portions.guard_effects import AgreeToFence, GrantPromise
+from comfreywind.decisions.portions.guard_events import (
+    FenceAsked,
+    FenceSeen,
+    GuardEvent,
+    PromiseAsked,
+    PromiseReceived,
+    RenewalConfirmed,
+    RenewalSeen,
+)
+from comfreywind.decisions.portions.guard_step import apply_guard_event
+from comfreywind.decisions.portions.portion_row import PortionRow
+from comfreywind.decisions.portions.row_changes import (
+    finish_reclaim,
+    settle_holder,
+    take_free_units,
+)
+from comfreywind.decisions.portions.session_timing import SessionTiming
+
+NOW = 10
+MAX_RUN = 1
+HOLDER, PEER, FENCER = 'h@1', 'p@1', 'r@1'
+RENEWALS_LIMIT = 2
+ALWAYS = 1000
+
+
+class Removed(enum.Enum):
+    """A protection that the model leaves out, to show that the checker notices."""
+
+    NOTHING = 'nothing'
+    FENCE = 'the fence against a frozen holder'
+    EXPIRY_WAIT = 'the wait for the end of the session'
+    AGREEMENTS = 'the agreement of the other members'
+    ROW_CONDITION = "the condition on the version of the holder's row"
+    EXCUSE_WAIT = 'the wait after a member was proven dead'
+    MAX_RUN_WAIT = 'the wait for the longest run'
+    START_BEFORE = 'the start limit that the target checks'
+
+
+class FenceState(NamedTuple):
+    """All processes, messages on the way and the store; `None` stands for nothing there."""
+
+    holder: Guard
+    peer: Guard
+    fencer: Guard
+    holder_awake: bool = True
+    holder_alive: bool = True
+    peer_alive: bool = True
+    attempt: tuple[int, int] | None = None
+    grant_asked_s: int | None = None
+    send_before_s: int | None = None
+    holder_runs: int = 0
+    fencer_runs: int = 0
+    member_renewal: int = 1
+    member_fenced: bool = False
+    row: PortionRow = PortionRow(1, 1, recorded=((HOLDER, 1),))
+    case: FenceCase = FenceCase(HOLDER, 1, NOW)
+    dead_seen_s: int | None = None
+    fence_version: int | None = None
+    reclaim_seen_s: int | None = None
+
+
+Step = tuple[str, FenceState]
+
+
+def make_fence_protocol(ttl: int, removed: Removed = Removed.NOTHING) -> Protocol:
+    """Return the specification with a time to live in ticks, without the given protection."""
+    return Protocol(
+        name=f'fence without {removed.value}',
+        candidate=False,
+        fields=FenceState._fields,
+        initial=make_initial_state(ttl),
+        transitions=lambda state: list(list_steps(FenceState(*state), removed)),
+        invariants={
+            'running work never exceeds the ceiling': lambda state: (
+                state['holder_runs'] + state['fencer_runs'] <= 1
+            ),
+            'no unit is counted twice': lambda state: 0 <= state['row'].free_units,
+        },
+        goal=is_unit_usable,
+    )
+
+
+def make_initial_state(ttl: int) -> FenceState:
+    """Return the state in which all three are members and the holder has just renewed."""
+    timing = SessionTiming(ttl_s=ttl, drift_ratio=0)
+    holder = Guard(HOLDER, timing, silent_until_s=0, valid_until_s=NOW + ttl, renewal_number=1)
+    peer = Guard(PEER, timing, silent_until_s=0, valid_until_s=ALWAYS)
+    return FenceState(holder, peer, replace(peer, holder=FENCER))
+
+
+def is_unit_usable(state: dict[str, object]) -> bool:
+    """Return whether somebody who can work holds the unit and may start."""
+    recorded = dict(state['row'].recorded)
+    if FENCER in recorded:
+        return state['fencer_runs'] == 0
+    at_work = state['holder_alive'] and state['holder_awake'] and not state['holder_runs']
+    return HOLDER in recorded and at_work and is_session_valid(state['holder'], NOW)
+
+
+def list_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+    """Yield all steps and faults that are possible."""
+    yield 'tick', _tick(state)
+    yield from _list_faults(state)
+    if state.holder_alive and state.holder_awake:
+        yield from _list_holder_steps(state)
+    if state.peer_alive:
+        yield from _list_peer_steps(state)
+    yield from _list_store_steps(state, removed)
+    yield from _list_target_steps(state, removed)
+    yield from _list_fencer_steps(state, removed)
+
+
+def _list_faults(state: FenceState) -> Iterator[Step]:
+    if state.holder_alive:
+        yield 'freeze or wake holder', state._replace(holder_awake=not state.holder_awake)
+        yield (
+            'kill holder',
+            state._replace(holder_alive=False, holder_awake=True, grant_asked_s=None),
+        )
+    if state.peer_alive:
+        yield 'kill peer', state._replace(peer_alive=False, dead_seen_s=NOW)
+    if state.grant_asked_s is not None:
+        yield 'lose the promise', state._replace(grant_asked_s=None)
+
+
+def _list_holder_steps(state: FenceState) -> Iterator[Step]:
+    guard = state.holder
+    if state.attempt is None and guard.renewal_number < RENEWALS_LIMIT and not guard.fenced:
+        attempt = (guard.renewal_number + 1, NOW)
+        yield 'holder sends renewal', state._replace(attempt=attempt)
+    if state.member_fenced and not guard.fenced:
+        yield 'holder sees fence', state._replace(holder=_apply(FenceSeen(), guard))
+    if state.attempt and state.attempt[0] == state.member_renewal:
+        confirmed = RenewalConfirmed(state.attempt[1], state.attempt[0])
+        yield (
+            'holder gets reply or reads the row',
+            state._replace(holder=_apply(confirmed, guard), attempt=None),
+        )
+    if state.grant_asked_s is not None:
+        received = PromiseReceived(state.grant_asked_s)
+        yield (
+            'holder gets promise',
+            state._replace(holder=_apply(received, guard), grant_asked_s=None),
+        )
+    yield from _list_work_steps(state)
+
+
+def _list_work_steps(state: FenceState) -> Iterator[Step]:
+    idle = state.holder_runs == 0 and state.send_before_s is None
+    if idle and is_session_valid(state.holder, NOW):
+        yield 'holder checks session', state._replace(send_before_s=int(state.holder.valid_until_s))
+
+
+def _list_target_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+    if state.send_before_s is None:
+        return
+    sent = state._replace(send_before_s=None)
+    if state.send_before_s >= NOW or removed is Removed.START_BEFORE:
+        yield 'target starts work of holder', sent._replace(holder_runs=MAX_RUN)
+    else:
+        yield 'target refuses work of holder', sent
+
+
+def _list_peer_steps(state: FenceState) -> Iterator[Step]:
+    if state.holder_alive and state.holder_awake:
+        asked = PromiseAsked(HOLDER, state.holder.renewal_number, NOW)
+        guard, effects = apply_guard_event(asked, state.peer)
+        if effects == (GrantPromise(HOLDER),):
+            yield 'peer grants promise', state._replace(peer=guard, grant_asked_s=NOW)
+    seen = RenewalSeen(HOLDER, state.member_renewal)
+    if _apply(seen, state.peer) != state.peer:
+        yield 'peer sees renewal', state._replace(peer=_apply(seen, state.peer))
+    query = FenceAsked(HOLDER, state.case.renewal_number, NOW)
+    guard, effects = apply_guard_event(query, state.peer)
+    if not effects:
+        return
+    yield 'peer agrees, its reply is lost', state._replace(peer=guard)
+    yield 'peer agrees', state._replace(peer=guard, case=_add(state.case, PEER))
+
+
+def _list_store_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+    pending = state.attempt is not None and state.attempt[0] > state.member_renewal
+    if pending and not state.member_fenced:
+        yield 'store applies renewal', state._replace(member_renewal=state.attempt[0])
+    if state.fence_version is None:
+        return
+    conditional = removed is not Removed.ROW_CONDITION
+    if conditional and state.fence_version != state.member_renewal:
+        yield 'store refuses fence', state._replace(fence_version=None)
+        return
+    yield (
+        'store applies fence',
+        state._replace(fence_version=None, member_fenced=True),
+    )
+
+
+def _list_fencer_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+    query = FenceAsked(HOLDER, state.case.renewal_number, NOW)
+    guard, effects = apply_guard_event(query, state.fencer)
+    if effects and not state.member_fenced:
+        yield 'fencer agrees', state._replace(fencer=guard, case=_add(state.case, FENCER))
+    if state.holder_alive and state.holder_awake:
+        asked = PromiseAsked(HOLDER, state.holder.renewal_number, NOW)
+        guard, grants = apply_guard_event(asked, state.fencer)
+        if grants == (GrantPromise(HOLDER),):
+            yield 'fencer grants promise', state._replace(fencer=guard, grant_asked_s=NOW)
+    if state.member_renewal != state.case.renewal_number:
+        seen = RenewalSeen(HOLDER, state.member_renewal)
+        yield (
+            'fencer sees renewal',
+            state._replace(
+                fencer=_apply(seen, state.fencer),
+                case=FenceCase(HOLDER, state.member_renewal, NOW),
+            ),
+        )
+    elif _may_fence(state, removed):
+        yield 'fencer sends fence', state._replace(fence_version=state.case.renewal_number)
+    yield from _list_reclaim_steps(state, removed)
+
+
+def _may_fence(state: FenceState, removed: Removed) -> bool:
+    if state.member_fenced or state.fence_version is not None:
+        return False
+    if removed is not Removed.EXPIRY_WAIT and not is_expired(state.case, state.fencer.timing, NOW):
+        return False
+    if removed is Removed.AGREEMENTS:
+        return True
+    members = {HOLDER, FENCER, PEER}
+    if state.dead_seen_s is not None:
+        waited = NOW >= state.dead_seen_s + state.fencer.timing.observed_ttl_s
+        if waited or removed is Removed.EXCUSE_WAIT:
+            members.discard(PEER)
+    return not list_missing(state.case, frozenset(members))
+
+
+def _list_reclaim_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+    recorded = dict(state.row.recorded)
+    gone = state.member_fenced
+    if removed is Removed.FENCE:
+        # Without the fence, the holder's units are taken as soon as it is silent for its time to live.
+        gone = is_expired(state.case, state.fencer.timing, NOW)
+    if HOLDER in recorded and gone:
+        wait_s = 0 if removed is Removed.MAX_RUN_WAIT else MAX_RUN
+        row = settle_holder(state.row, HOLDER, (), wait_s)
+        yield 'fencer settles holder', state._replace(row=row, reclaim_seen_s=NOW)
+    for reclaim in state.row.reclaiming:
+        if NOW >= state.reclaim_seen_s + reclaim.wait_s:
+            row = finish_reclaim(state.row, reclaim)
+            yield 'fencer ends reclaim', state._replace(row=row, reclaim_seen_s=None)
+    if state.row.free_units > 0:
+        yield 'fencer takes unit', state._replace(row=take_free_units(state.row, FENCER, 1))
+    if FENCER in recorded and state.fencer_runs == 0:
+        yield 'fencer starts work', state._replace(fencer_runs=MAX_RUN)
+
+
+def _tick(state: FenceState) -> FenceState:
+    ttl_start_s = NOW - int(state.fencer.timing.ttl_s)
+    attempt = state.attempt
+    if attempt is not None:
+        attempt = (attempt[0], max(attempt[1] - 1, ttl_start_s))
+    return state._replace(
+        holder=_age_guard(state.holder),
+        peer=_age_guard(state.peer),
+        fencer=_age_guard(state.fencer),
+        attempt=attempt,
+        grant_asked_s=_age(state.grant_asked_s, ttl_start_s),
+        send_before_s=_age(state.send_before_s, NOW - 1),
+        holder_runs=max(0, state.holder_runs - 1),
+        fencer_runs=max(0, state.fencer_runs - 1),
+        case=replace(state.case, first_seen_s=_age(state.case.first_seen_s, ttl_start_s)),
+        dead_seen_s=_age(state.dead_seen_s, ttl_start_s),
+        reclaim_seen_s=_age(state.reclaim_seen_s, NOW - MAX_RUN),
+    )
+
+
+def _age(time_s: int | None, lowest_s: int) -> int | None:
+    return None if time_s is None else max(int(time_s) - 1, lowest_s)
+
+
+def _age_guard(guard: Guard) -> Guard:
+    granted = tuple((name, until - 1) for name, until in guard.granted if until - 1 > NOW)
+    until_s = guard.valid_until_s
+    if until_s < ALWAYS:
+        until_s = max(until_s - 1, NOW - 1)
+    return replace(guard, valid_until_s=until_s, granted=granted)
+
+
+def _apply(event: GuardEvent, guard: Guard) -> Guard:
+    return apply_guard_event(event, guard)[0]
+
+
+def _add(case: FenceCase, member: str) -> FenceCase:
+    agreement = AgreeToFence(HOLDER, case.renewal_number)
+    return add_agreement(case, agreement.renewal_number, (member, ()))
