--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,6 +4,7 @@
 import json
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from types import TracebackType
@@ -68,7 +69,7 @@
         self.platform.start()
         for target in self.targets:
             target.start()
-        wait_until(lambda: _answers(self.platform_address, '/v1/vms'), 'platform stand-in')
+        wait_until(lambda: answers(self.platform_address, '/v1/vms'), 'platform stand-in')
         for entry in self.entries:
             entry.start()
         wait_until(self._all_operators_answer, 'operator sides')
@@ -77,6 +78,7 @@
             self.keys[team] = self.grant_key(team)
         wait_until(self._all_ready, 'entries')
         wait_until(self._all_know_keys, 'keys on all entries')
+        wait_until(self._all_use_vms, 'rows of all VMs on all entries')
 
     def stop(self) -> None:
         """Stop everything and remove the settings files."""
@@ -142,6 +144,7 @@
             'address': self.platform_address,
             'vms': self.vms,
             'vm_list_lag_s': self.plan.vm_list_lag_s,
+            'reboot_s': self.plan.reboot_s,
         }
         return FleetProcess(self.folder, 'platform', ['stand-in', 'platform'], settings)
 
@@ -173,10 +176,10 @@
         return FleetProcess(self.folder, f'entry-{index}', ['entry'], settings)
 
     def _all_operators_answer(self) -> bool:
-        return all(_answers(address, '/v1/status', 401) for address in self.operator_addresses)
+        return all(answers(address, '/v1/status', 401) for address in self.operator_addresses)
 
     def _all_ready(self) -> bool:
-        return all(_answers(address, '/health/ready') for address in self.caller_addresses)
+        return all(answers(address, '/health/ready') for address in self.caller_addresses)
 
     def _all_know_keys(self) -> bool:
         sequences = [
@@ -185,6 +188,14 @@
         ]
         return all(count >= len(self.keys) for count in sequences)
 
+    def _all_use_vms(self) -> bool:
+        expected = Counter(vm['pool'] for vm in self.vms)
+        return all(
+            pool['usable_vms'] >= expected[pool['name']]
+            for index in range(self.plan.entries_count)
+            for pool in self.call_operator('GET', '/v1/pools', entry=index)['pools']
+        )
+
 
 def wait_until(
     condition: Callable[[], bool], name: str, timeout_s: float = START_TIMEOUT_S
@@ -206,7 +217,8 @@
         raise PlatformError(f'PUT {path}: status {reply.status}')
 
 
-def _answers(address: str, path: str, status: int = 200) -> bool:
+def answers(address: str, path: str, status: int = 200) -> bool:
+    """Return whether a GET request to the path gets the status."""
     try:
         return httpcore.request('GET', f'http://{address}{path}').status == status
     except httpcore.NetworkError:
--- a/comfreywind/entry/feed.py
+++ b/comfreywind/entry/feed.py
@@ -4,9 +4,11 @@
 
 import trio
 
-from comfreywind.bundle.parse import make_rules, parse_bundle
 from comfreywind.clock import Clock
+from comfreywind.control.control_view import CONTROL_TABLES, ControlView
 from comfreywind.decisions.keys import TeamKey
+from comfreywind.decisions.versions import is_newer_version
+from comfreywind.entry.bundle_loading import apply_offer, make_offer
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.errors import ComfreywindError, PlatformError
@@ -15,7 +17,7 @@
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.table_names import ROW_BUNDLE, TABLE_CURRENT, TABLE_KEYS, TABLE_VMS
 
-FOLLOWED_TABLES = (TABLE_CURRENT, TABLE_KEYS, TABLE_VMS)
+FOLLOWED_TABLES = (TABLE_CURRENT, TABLE_KEYS, *CONTROL_TABLES)
 
 log = logging.getLogger('comfreywind.feed')
 
@@ -30,6 +32,7 @@
         rules_view: RulesView,
         fleet_view: FleetView,
         clock: Clock,
+        control_view: ControlView | None = None,
     ) -> None:
         """Use the given clients and views."""
         self._tables = tables
@@ -37,6 +40,7 @@
         self._rules_view = rules_view
         self._fleet_view = fleet_view
         self._clock = clock
+        self._control_view = control_view or ControlView(clock)
 
     async def run(self, interval_s: float) -> None:
         """Poll for ever; a failed read leaves the views as they are."""
@@ -53,11 +57,12 @@
         changes = await self._tables.read_changes(self._rules_view.sequence, FOLLOWED_TABLES)
         for row in changes.rows:
             await self._apply_row(row)
+        self._control_view.apply_changes(changes)
         self._rules_view.sequence = changes.sequence
         self._rules_view.confirm(started_s)
 
     async def _apply_row(self, row: Row) -> None:
-        if row.table == TABLE_KEYS and row.value is not None:
+        if row.table == TABLE_KEYS:
             self._rules_view.apply_key(parse_key_row(row))
         elif row.table == TABLE_VMS:
             self._fleet_view.apply_vm_row(row)
@@ -65,23 +70,24 @@
             await self._load_bundle(row.value['version'], row.value['digest'])
 
     async def _load_bundle(self, version: int, digest: str) -> None:
+        self._rules_view.note_accepted(version)
+        if not is_newer_version(self._rules_view.read_version(), version):
+            return
         try:
             document = await self._objects.read(f'bundles-{digest}')
         except PlatformError:
             log.warning('bundle version %d is accepted but its content is not readable', version)
             raise
-        rules = make_rules(parse_bundle(document, f'bundle version {version}'), version)
-        if self._rules_view.apply_rules(rules):
-            log.info('bundle version %d is in force', version)
+        apply_offer(self._rules_view, make_offer(version, digest, document))
 
 
 def parse_key_row(row: Row) -> TeamKey:
-    """Return the key in a row of the table `keys`."""
+    """Return the key in a row of the table `keys`; a deleted row is a withdrawn key."""
     fields = row.value or {}
     return TeamKey(
         key_id=row.key,
-        team=fields['team'],
-        secret_sha256=fields['secret_sha256'],
-        withdrawn=fields['state'] == 'withdrawn',
+        team=fields.get('team', ''),
+        secret_sha256=fields.get('secret_sha256', ''),
+        withdrawn=fields.get('state') != 'granted',
         row_version=row.version,
     )
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -4,28 +4,49 @@
 
 import trio
 
-from comfreywind.clock import SystemClock
+from comfreywind.clock import Clock, SystemClock
+from comfreywind.control.control_view import ControlView
+from comfreywind.control.make_control import make_control
 from comfreywind.entry.caller_app import CallerApp
+from comfreywind.entry.confirmations import Confirmations
+from comfreywind.entry.dispatch_policy import make_policy
 from comfreywind.entry.dispatcher import Dispatcher
 from comfreywind.entry.even_split_units import EvenSplitUnits
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
+from comfreywind.entry.observed_app import ObservedApp
+from comfreywind.entry.graceful_stop import stop_serving
+from comfreywind.entry.heartbeat_source import HeartbeatSource
+from comfreywind.entry.member_status import MemberStatus
+from comfreywind.entry.load_exchange import LoadExchange
 from comfreywind.entry.operations import Operations
 from comfreywind.entry.operator_app import OperatorApp
+from comfreywind.entry.propagation import Propagation
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.target_client import TargetClient
 from comfreywind.entry.vm_list_poller import poll_vm_list
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
 from comfreywind.logs import configure_logs
+from comfreywind.metrics import make_metrics
+from comfreywind.peers.peer_identity import PeerIdentity
+from comfreywind.peers.stream_hub import StreamHub
+from comfreywind.peers.stream_limits import StreamLimits
 from comfreywind.platform.object_client import ObjectClient
 from comfreywind.platform.table_client import TableClient
 from comfreywind.platform.vm_list_client import VmListClient
+from comfreywind.report.burn_reporter import BurnReporter
+from comfreywind.report.result_recorder import ResultRecorder
+from comfreywind.report.summary_store import SummaryStore
+from comfreywind.report.decision_log import DecisionLog
+from comfreywind.report.decision_store import DecisionStore
+from comfreywind.report.explainer import Explainer
 from comfreywind.settings.entry import EntrySettings
 from comfreywind.signals import set_on_termination
 
 TARGET_CONNECTIONS = 64
+NANOSECONDS_PER_S = 1_000_000_000
 
 
 async def run_entry(settings: EntrySettings) -> None:
@@ -37,38 +58,90 @@
     tables = TableClient(client)
     objects = ObjectClient(client)
     rules_view = RulesView(clock, timings.fresh_s)
-    fleet_view = FleetView()
-    feed = Feed(tables, objects, rules_view, fleet_view, clock)
+    fleet_view = FleetView(requires_row=True)
+    control_view = ControlView(clock)
+    decisions = DecisionLog(clock)
+    decision_store = DecisionStore(settings.name, decisions, tables, objects)
+    vm_list_client = VmListClient(client)
+    hub = make_hub(settings, clock)
+    propagation = Propagation(
+        hub, rules_view, fleet_view, clock, timings, push=settings.push_changes
+    )
+    feed = Feed(tables, objects, rules_view, fleet_view, clock, control_view)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
-    dispatcher = Dispatcher(rules_view, fleet_view, units, clock)
+    policy = make_policy(settings.policy)
+    dispatcher = Dispatcher(rules_view, fleet_view, units, clock, policy, settings.data_centre)
+    load_exchange = LoadExchange(hub, dispatcher, clock)
+    hub.set_heartbeat_source(HeartbeatSource(rules_view, fleet_view, dispatcher).make_heartbeat)
+    control = make_control(
+        hub.identity,
+        hub,
+        control_view,
+        rules_view,
+        fleet_view,
+        tables,
+        vm_list_client,
+        dispatcher.read_outstanding,
+        decisions,
+        clock,
+        timings,
+    )
     forwarder = Forwarder(
         dispatcher, TargetClient(TARGET_CONNECTIONS), units, clock, settings.buffer_limit_bytes
     )
     caller_app = CallerApp(
         rules_view, forwarder, clock, settings.body_limit_bytes, timings.default_deadline_s
     )
+    recorder = ResultRecorder(clock)
+    process_name = f'{settings.name}-{clock.read_utc():%Y%m%d%H%M%S%f}'
+    summaries = SummaryStore(tables, objects, process_name)
+    observed_app = ObservedApp(
+        caller_app, rules_view, recorder, make_metrics(settings.statsd_address), clock
+    )
     operator_app = OperatorApp(
         settings.name,
         settings.operator_token_sha256,
         Operations(tables, objects),
         rules_view,
         fleet_view,
+        BurnReporter(summaries, recorder, clock),
+        propagation,
+        Confirmations(hub, rules_view, clock, timings.confirm_wait_s),
+        MemberStatus(hub, clock),
+        control_view,
+        Explainer(settings.name, decisions, decision_store, hub),
     )
     termination = trio.Event()
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(set_on_termination, termination)
+        await nursery.start(hub.run)
         nursery.start_soon(feed.run, timings.feed_interval_s)
-        nursery.start_soon(
-            poll_vm_list, VmListClient(client), fleet_view, timings.vm_list_interval_s
-        )
+        nursery.start_soon(summaries.run, recorder, timings.summary_interval_s)
+        nursery.start_soon(load_exchange.run, timings.heartbeat_interval_s)
+        nursery.start_soon(poll_vm_list, vm_list_client, fleet_view, timings.vm_list_interval_s)
+        nursery.start_soon(control.run)
+        nursery.start_soon(decision_store.run, timings.decision_flush_s)
         async with trio.open_nursery() as servers:
-            servers.start_soon(partial(serve_app, caller_app, settings.caller_address, shutdown))
+            servers.start_soon(partial(serve_app, observed_app, settings.caller_address, shutdown))
             servers.start_soon(
                 partial(serve_app, operator_app, settings.operator_address, shutdown)
             )
             await termination.wait()
-            caller_app.stopping = True
-            await trio.sleep(timings.drain_notice_s)
+            await control.release()
+            await stop_serving(caller_app, timings)
             shutdown.set()
+        with trio.move_on_after(timings.platform_timeout_s):
+            await decision_store.flush()
         nursery.cancel_scope.cancel()
+
+
+def make_hub(settings: EntrySettings, clock: Clock) -> StreamHub:
+    """Return the hub of this process; its incarnation is the wall time in nanoseconds."""
+    incarnation = int(clock.read_utc().timestamp() * NANOSECONDS_PER_S)
+    timings = settings.timings
+    limits = StreamLimits(
+        timings.heartbeat_interval_s, timings.peer_silent_s, timings.connect_timeout_s
+    )
+    identity = PeerIdentity(settings.name, incarnation)
+    return StreamHub(identity, settings.peer_address, settings.peers, clock, limits)
