--- a/comfreywind/decisions/pool_plan.py
+++ b/comfreywind/decisions/pool_plan.py
@@ -5,6 +5,7 @@
 
 from comfreywind.bundle.rules import TeamRules
 from comfreywind.decisions.fair_share import ShareClaim, compute_fair_shares
+from comfreywind.decisions.slot_rounding import round_to_slots
 from comfreywind.decisions.team_load import TeamLoad
 
 LoadsByTeam = Mapping[str, TeamLoad]
@@ -15,13 +16,13 @@
     """What this entry derives from the loads of all entries.
 
     `entitlements` is each team's part of the pool in slots, `quotas` this entry's part of each
-    entitlement. `newcomer_quota` is the quota for each unit of weight of a team that had no demand
+    entitlement, and `slots` their sum as a whole number. `newcomer_quota` is the quota for each unit of weight of a team that had no demand
     when the plan was made. `urgent_running` counts running urgent requests of all entries.
     """
 
     entitlements: dict[str, float] = field(default_factory=dict)
     quotas: dict[str, float] = field(default_factory=dict)
-    quota: float = 0
+    slots: int = 0
     newcomer_quota: float = 1
     urgent_running: dict[str, int] = field(default_factory=dict)
     urgent_ready_at_peers: int = 0
@@ -29,32 +30,32 @@
 
 
 def make_pool_plan(
-    own_loads: LoadsByTeam,
-    peer_loads: Mapping[str, LoadsByTeam],
+    own_name: str,
+    loads: Mapping[str, LoadsByTeam],
     teams: Mapping[str, TeamRules],
     capacity: float,
+    rounding_offset: float,
 ) -> PoolPlan:
-    """Return the plan for one pool with `capacity` slots.
+    """Return the plan for one pool with `capacity` slots from the loads of all entries by name.
 
-    Every entry makes it from the same reports, so that the quotas of all entries sum up to the
+    Every entry makes it from the same reports, so that the slots of all entries sum up to the
     capacity as far as the reports are current.
     """
-    loads = {'': own_loads, **peer_loads}
     claims = _make_claims(loads, teams)
     entitlements = compute_fair_shares(capacity, claims)
     quotas_by_entry = _split_entitlements(entitlements, loads)
+    entry_quotas = {entry: sum(quotas.values()) for entry, quotas in quotas_by_entry.items()}
+    slots_by_entry = round_to_slots(entry_quotas, rounding_offset)
+    peers = [entry for entry in loads if entry != own_name]
     total_weight = sum(team.weight for team in teams.values()) or 1
     return PoolPlan(
         entitlements=entitlements,
-        quotas=quotas_by_entry[''],
-        quota=sum(quotas_by_entry[''].values()),
+        quotas=quotas_by_entry[own_name],
+        slots=slots_by_entry[own_name],
         newcomer_quota=max(capacity, 1) / (total_weight * len(loads)),
         urgent_running=_sum_urgent_running(loads),
-        urgent_ready_at_peers=_sum_urgent_ready(peer_loads),
-        peers_below_quota=any(
-            _is_below_quota(team_loads, quotas_by_entry[entry])
-            for entry, team_loads in peer_loads.items()
-        ),
+        urgent_ready_at_peers=sum(_sum_urgent_ready(loads[peer]) for peer in peers),
+        peers_below_quota=any(_is_below_quota(loads[peer], slots_by_entry[peer]) for peer in peers),
     )
 
 
@@ -95,16 +96,11 @@
     return totals
 
 
-def _sum_urgent_ready(loads: Mapping[str, LoadsByTeam]) -> int:
-    return sum(load.urgent_ready for team_loads in loads.values() for load in team_loads.values())
+def _sum_urgent_ready(team_loads: LoadsByTeam) -> int:
+    return sum(load.urgent_ready for load in team_loads.values())
 
 
-def _is_below_quota(team_loads: LoadsByTeam, quotas: Mapping[str, float]) -> bool:
-    """Return whether the entry has work waiting and room for a whole request in its quota."""
+def _is_below_quota(team_loads: LoadsByTeam, slots: int) -> bool:
+    """Return whether the entry uses less than its slots and has work that lacks only a slot."""
     running = sum(load.running for load in team_loads.values())
-    if running + 1 > sum(quotas.values()):
-        return False
-    return any(
-        load.waiting > 0 and load.running + 1 <= quotas.get(name, 0)
-        for name, load in team_loads.items()
-    )
+    return running < slots and any(load.ready for load in team_loads.values())
--- a/comfreywind/decisions/room_rule.py
+++ b/comfreywind/decisions/room_rule.py
@@ -18,13 +18,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolRoom:
-    """Figures of one pool: requests running from here, this entry's quota, slots known as free.
+    """Figures of one pool: requests running from here, this entry's part, slots known as free.
 
     `reserved_slots` are kept free for urgent work.
     """
 
     running: int
-    quota: float
+    quota_slots: int
     free_slots: int
     reserved_slots: int
     urgent_ready_at_peers: int
@@ -41,9 +41,8 @@
         return RoomRule.ANY
     if room.urgent_ready_at_peers and room.free_slots <= room.urgent_ready_at_peers:
         return RoomRule.NONE
-    if room.running + 1 <= room.quota:
+    if room.running < room.quota_slots:
         return RoomRule.ANY
-    yields_to_peers = room.running >= room.quota and room.peers_below_quota
-    if yields_to_peers or room.free_slots <= room.reserved_slots:
+    if room.peers_below_quota or room.free_slots <= room.reserved_slots:
         return RoomRule.NONE
     return RoomRule.KNOWN_ROOM
--- a/comfreywind/decisions/team_load.py
+++ b/comfreywind/decisions/team_load.py
@@ -7,11 +7,13 @@
 class TeamLoad:
     """Numbers of requests; the urgent ones are counted in `running` and `waiting` too.
 
-    `urgent_ready` counts the waiting urgent requests that lack nothing but a slot.
+    `ready` counts the waiting requests that lack nothing but a slot, `urgent_ready` the urgent ones
+    among them that are within the team's entitlement.
     """
 
     running: int = 0
     waiting: int = 0
+    ready: int = 0
     urgent_running: int = 0
     urgent_ready: int = 0
 
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections.abc import Mapping
+from dataclasses import replace
 
 import trio
 
@@ -17,6 +18,7 @@
 from comfreywind.entry.pool_queue import PoolQueue
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.target_judge import AdmitAll, TargetJudge
 from comfreywind.entry.target_pool import TargetPool
 from comfreywind.entry.team_queue import TeamQueue
 from comfreywind.entry.ticket import Ticket
@@ -56,7 +58,9 @@
         units: UnitSource,
         clock: Clock,
         policy: DispatchPolicy | None = None,
+        entry_name: str = '',
         data_centre: str = '',
+        judge: TargetJudge | None = None,
         generator: random.Random | None = None,
     ) -> None:
         """Start with nothing waiting and follow the views and the units."""
@@ -65,8 +69,11 @@
         self._units = units
         self._clock = clock
         self._policy = policy or SharesPolicy()
+        self._entry_name = entry_name
         self._data_centre = data_centre
+        self._judge = judge or AdmitAll()
         self._generator = generator or random.Random()
+        self._not_run: set[int] = set()
         self._numbers = itertools.count(1)
         self._pools: dict[str, PoolQueue] = {}
         self._unit_demand = UnitDemand(units)
@@ -80,28 +87,32 @@
         refusal = self._find_refusal(pool, ticket)
         if refusal is not None:
             raise RefusalError(refusal)
-        return await self._wait_for_place(pool, Waiter(ticket, next(self._numbers)))
+        number = next(self._numbers)
+        waiter = Waiter(ticket, -number if ticket.at_front else number)
+        return await self._wait_for_place(pool, waiter)
 
     async def reacquire(self, ticket: Ticket, placement: Placement) -> Placement:
         """Return another place for a request that the target of `placement` has not run.
 
-        The placement is given back, its target counts as full for a moment, and the request waits
-        at the front of its queue. Raises RefusalError when there is no place in time.
+        The placement is given back, and the request waits at the front of its queue. Raises
+        RefusalError when there is no place in time.
         """
-        pool = self._find_pool(placement.pool)
-        pool.undo_start(placement, self._clock.read_monotonic_s() + FULL_MARK_S)
-        self._return_unit(placement)
-        if not pool.targets.has_allowed(ticket.excluded_targets):
-            raise RefusalError(_refuse(RefusalReason.NO_TARGET, 'no other target is available'))
-        waiter = Waiter(ticket, -next(self._numbers))
-        return await self._wait_for_place(pool, waiter, at_front=True)
+        self.mark_not_run(placement)
+        self._give_back(placement)
+        return await self.acquire(replace(ticket, at_front=True))
+
+    def mark_not_run(self, placement: Placement) -> None:
+        """Note that the target refused the request for lack of a slot, before it is released.
+
+        The target then counts as full for a moment, and the run time of the request is not taken
+        into the estimates.
+        """
+        self._not_run.add(id(placement))
 
     def release(self, placement: Placement) -> None:
         """Return the unit and the slot of a request that has ended."""
-        pool = self._find_pool(placement.pool)
-        pool.note_finish(placement, self._clock.read_monotonic_s())
-        self._return_unit(placement)
-        self._start_waiting(pool)
+        self._give_back(placement)
+        self._start_waiting(self._find_pool(placement.pool))
 
     def wake_team(self, team: str) -> None:
         """Start what waits for a unit of the team."""
@@ -138,13 +149,12 @@
             pool.targets.expire_statements(now_s)
             pool.targets.replace_peer_loads(outstanding)
             keeps_reserve = self._policy.keeps_reserve and self._has_urgent(name)
-            pool.renew_plan(read_peer_loads(reports, name), team_rules, keeps_reserve, now_s)
+            peer_loads = read_peer_loads(reports, name)
+            pool.renew_plan(self._entry_name, peer_loads, team_rules, keeps_reserve, self._clock)
         self._start_all()
 
-    async def _wait_for_place(
-        self, pool: PoolQueue, waiter: Waiter, at_front: bool = False
-    ) -> Placement:
-        self._enqueue(pool, waiter, at_front)
+    async def _wait_for_place(self, pool: PoolQueue, waiter: Waiter) -> Placement:
+        self._enqueue(pool, waiter)
         if waiter.placement is None and not waiter.refused:
             await self._sleep_until_placed(pool, waiter)
         if waiter.placement is not None:
@@ -163,8 +173,8 @@
         with trio.move_on_after(max(0, left_s)):
             await trio.lowlevel.wait_task_rescheduled(leave_queue)
 
-    def _enqueue(self, pool: PoolQueue, waiter: Waiter, at_front: bool) -> None:
-        pool.add(waiter, at_front)
+    def _enqueue(self, pool: PoolQueue, waiter: Waiter) -> None:
+        pool.add(waiter)
         self._unit_demand.add_waiting(waiter.ticket.team, 1)
         self._start_waiting(pool)
 
@@ -174,12 +184,14 @@
 
     def _find_refusal(self, pool: PoolQueue, ticket: Ticket) -> Refusal | None:
         team = pool.find_team(ticket.team)
-        if team.count_waiting(ticket.queue.name) >= ticket.queue.queue_limit:
-            return _refuse(RefusalReason.QUEUE_FULL, 'too many wait')
         if self._read_ceiling(ticket.team) == 0:
             return _refuse(RefusalReason.CEILING_REACHED, 'the ceiling of the team is 0')
         if ticket.excluded_targets and not pool.targets.has_allowed(ticket.excluded_targets):
             return _refuse(RefusalReason.NO_TARGET, 'no other target is available')
+        if ticket.at_front:
+            return None
+        if team.count_waiting(ticket.queue.name) >= ticket.queue.queue_limit:
+            return _refuse(RefusalReason.QUEUE_FULL, 'too many wait')
         return self._find_early_refusal(team, ticket) if self._policy.refuses_early else None
 
     def _find_early_refusal(self, team: TeamQueue, ticket: Ticket) -> Refusal | None:
@@ -227,11 +239,10 @@
         for waiter in lane.peek(LOOK_AHEAD):
             if self._is_too_late(team, waiter):
                 return self._refuse_late(pool, waiter)
-            excluded = waiter.ticket.excluded_targets
-            target = self._policy.choose_target(pool, urgent_first, excluded)
+            target = self._policy.choose_target(pool, urgent_first, waiter.ticket)
             if target is not None:
                 return self._take_unit_and_start(pool, team, waiter, target)
-            if not excluded:
+            if not waiter.ticket.excluded_targets:
                 return StartResult.NO_ROOM
         return StartResult.TEAM_BLOCKED
 
@@ -269,14 +280,21 @@
         _wake_task(waiter)
         return StartResult.PROGRESS
 
-    def _return_unit(self, placement: Placement) -> None:
+    def _give_back(self, placement: Placement) -> None:
+        pool = self._find_pool(placement.pool)
+        now_s = self._clock.read_monotonic_s()
+        if id(placement) in self._not_run:
+            self._not_run.remove(id(placement))
+            pool.undo_start(placement, now_s + FULL_MARK_S)
+        else:
+            pool.note_finish(placement, now_s)
         self._units.give_back(placement.team)
         self.wake_team(placement.team)
 
     def _find_pool(self, name: str) -> PoolQueue:
         pool = self._pools.get(name)
         if pool is None:
-            pool = PoolQueue(TargetPool(self._data_centre, self._generator))
+            pool = PoolQueue(TargetPool(self._data_centre, self._judge, self._generator))
             self._pools[name] = pool
             pool.targets.replace_vms(self._fleet_view.list_usable(name), self._read_slots(name))
         return pool
--- a/comfreywind/entry/forwarder.py
+++ b/comfreywind/entry/forwarder.py
@@ -56,7 +56,13 @@
 
         Raises RefusalError when there is no answer, AnswerCutError when it broke off midway.
         """
-        ticket = Ticket(request.request_id, queue, request.team, request.deadline_s)
+        ticket = Ticket(
+            request.request_id,
+            queue,
+            request.team,
+            request.deadline_s,
+            idempotent=request.idempotent,
+        )
         placement = await self._dispatcher.acquire(ticket)
         while not await self._run_at(placement, request, max_run_s, send):
             placement = await self._dispatcher.reacquire(ticket, placement)
--- a/comfreywind/entry/pool_queue.py
+++ b/comfreywind/entry/pool_queue.py
@@ -1,10 +1,13 @@
 """Waiting requests and targets of one pool."""
 
 from collections.abc import Iterator, Mapping
+from dataclasses import astuple
 
 from comfreywind.bundle.rules import TeamRules
+from comfreywind.clock import Clock
 from comfreywind.decisions.pool_plan import LoadsByTeam, PoolPlan, make_pool_plan
 from comfreywind.decisions.room_rule import PoolRoom
+from comfreywind.decisions.slot_rounding import make_offset
 from comfreywind.decisions.urgent_reserve import count_reserved_slots
 from comfreywind.entry.placement import Placement
 from comfreywind.entry.target_pool import TargetPool
@@ -37,13 +40,13 @@
         """Return the teams with waiting requests that do not lack a unit."""
         return (team for team in self._with_waiting.values() if not team.lacks_unit)
 
-    def add(self, waiter: Waiter, at_front: bool = False) -> None:
+    def add(self, waiter: Waiter) -> None:
         """Add a waiting request."""
         team_queue = self.find_team(waiter.ticket.team)
         if not team_queue.waiting:
             team_queue.catch_up(self._virtual_time_s)
             self._with_waiting[team_queue.team] = team_queue
-        team_queue.add(waiter, at_front)
+        team_queue.add(waiter)
 
     def remove(self, waiter: Waiter) -> bool:
         """Remove a request and return whether it was waiting."""
@@ -85,7 +88,7 @@
         """Return the figures that decide where the next request may go."""
         return PoolRoom(
             running=self.running,
-            quota=self.plan.quota,
+            quota_slots=self.plan.slots,
             free_slots=self.targets.free_slots,
             reserved_slots=self._reserved_slots,
             urgent_ready_at_peers=self.plan.urgent_ready_at_peers,
@@ -96,30 +99,31 @@
         """Return the load of each team that has any, as it is reported to peers."""
         loads = {name: team.make_load() for name, team in self.teams.items()}
         return {
-            name: [load.running, load.waiting, load.urgent_running, load.urgent_ready]
+            name: [int(count) for count in astuple(load)]
             for name, load in loads.items()
             if load.demand
         }
 
     def renew_plan(
         self,
+        own_name: str,
         peer_loads: Mapping[str, LoadsByTeam],
         team_rules: Mapping[str, TeamRules],
         keeps_reserve: bool,
-        now_s: float,
+        clock: Clock,
     ) -> None:
         """Make the plan from the current loads."""
+        now_s = clock.read_monotonic_s()
         own_loads = {name: team.make_load() for name, team in self.teams.items()}
-        urgent_running = sum(load.urgent_running for load in own_loads.values()) + sum(
-            load.urgent_running for loads in peer_loads.values() for load in loads.values()
-        )
+        loads = {**peer_loads, own_name: own_loads}
         self._reserved_slots = 0
         if keeps_reserve:
             self._reserved_slots = count_reserved_slots(
-                self.targets.capacity, self._read_mean_run_s(now_s), urgent_running
+                self.targets.capacity, self._read_mean_run_s(now_s)
             )
         capacity = self.targets.capacity - self._reserved_slots
-        self.plan = make_pool_plan(own_loads, peer_loads, team_rules, capacity)
+        offset = make_offset(clock.read_utc().timestamp())
+        self.plan = make_pool_plan(own_name, loads, team_rules, capacity, offset)
         for name, team in self.teams.items():
             self._apply_plan(team, team_rules.get(name))
 
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -44,7 +44,9 @@
     feed = Feed(tables, objects, rules_view, fleet_view, clock)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
     policy = make_policy(settings.policy)
-    dispatcher = Dispatcher(rules_view, fleet_view, units, clock, policy, settings.data_centre)
+    dispatcher = Dispatcher(
+        rules_view, fleet_view, units, clock, policy, settings.name, settings.data_centre
+    )
     load_exchange = LoadExchange(NoPeers(), dispatcher, clock)
     forwarder = Forwarder(
         dispatcher, TargetClient(TARGET_CONNECTIONS), units, clock, settings.buffer_limit_bytes
--- a/comfreywind/entry/team_queue.py
+++ b/comfreywind/entry/team_queue.py
@@ -58,9 +58,9 @@
         """Return the lane that the request belongs to."""
         return self.urgent if waiter.ticket.queue.urgent else self.normal
 
-    def add(self, waiter: Waiter, at_front: bool) -> None:
+    def add(self, waiter: Waiter) -> None:
         """Add a waiting request."""
-        self.find_lane(waiter).add(waiter, at_front)
+        self.find_lane(waiter).add(waiter, waiter.ticket.at_front)
         self._waiting_by_queue[waiter.ticket.queue.name] += 1
 
     def remove(self, waiter: Waiter) -> bool:
@@ -105,8 +105,13 @@
 
     def make_load(self) -> TeamLoad:
         """Return the load as it is reported to peers."""
-        urgent_ready = len(self.urgent) if self.urgent_allowed and not self.lacks_unit else 0
-        return TeamLoad(self.running, self.waiting, self.urgent_running, urgent_ready)
+        return TeamLoad(
+            running=self.running,
+            waiting=self.waiting,
+            ready=0 if self.lacks_unit else self.waiting,
+            urgent_running=self.urgent_running,
+            urgent_ready=len(self.urgent) if self.urgent_allowed and not self.lacks_unit else 0,
+        )
 
     def _charge(self, service_s: float) -> None:
         self.virtual_time_s = advance_virtual_time(self.virtual_time_s, service_s, self.quota)
--- a/tests/helpers/dispatch_rig.py
+++ b/tests/helpers/dispatch_rig.py
@@ -12,6 +12,7 @@
 from comfreywind.entry.dispatcher import Dispatcher
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.load_exchange import LoadExchange
+from comfreywind.entry.placement import Placement
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.ticket import Ticket
@@ -82,8 +83,9 @@
             self.units[index],
             clock,
             make_policy(policy),
+            f'entry-{index}',
             'dc-1',
-            random.Random(index),
+            generator=random.Random(index),
         )
         fleet_view.apply_vm_list(self.vms)
         rules_view.apply_rules(rules)
@@ -117,12 +119,11 @@
         arrived_s = trio.current_time()
         try:
             placement = await dispatcher.acquire(ticket)
-            while not await self._run(placement.target.name, team, queue, run_s, arrived_s):
+            while not await self._run_at(placement, dispatcher, queue, run_s, arrived_s):
                 placement = await dispatcher.reacquire(ticket, placement)
         except RefusalError as error:
             self.results[team, error.refusal.reason.problem] += 1
             return
-        dispatcher.release(placement)
         in_time = trio.current_time() <= ticket.deadline_s
         self.results[team, 'in-time' if in_time else 'late'] += 1
 
@@ -139,24 +140,41 @@
         """Return how many requests of the team were refused for the reason."""
         return self.results[team, reason.problem]
 
-    async def _run(
-        self, target: str, team: str, queue: str, run_s: float, arrived_s: float
+    async def _run_at(
+        self,
+        placement: Placement,
+        dispatcher: Dispatcher,
+        queue: str,
+        run_s: float,
+        arrived_s: float,
     ) -> bool:
-        await trio.sleep(ROUND_TRIP_S)
-        if self.busy[target] >= SLOTS:
+        """Run and release the request; return False, with the place still held, if it was not run."""
+        accepted = False
+        try:
+            await trio.sleep(ROUND_TRIP_S)
+            accepted = self.busy[placement.target.name] < SLOTS
+            if accepted:
+                self.start_waits_s[queue].append(trio.current_time() - arrived_s)
+                await self._occupy(placement.target.name, placement.team, run_s)
+        except trio.Cancelled:
+            dispatcher.release(placement)
+            raise
+        if not accepted:
             self.target_refusals += 1
             return False
+        dispatcher.release(placement)
+        return True
+
+    async def _occupy(self, target: str, team: str, run_s: float) -> None:
+        started_s = trio.current_time()
         self.busy[target] += 1
         self.running[team] += 1
-        self.start_waits_s[queue].append(trio.current_time() - arrived_s)
-        started_s = trio.current_time()
         try:
             await trio.sleep(run_s)
         finally:
             self.busy[target] -= 1
             self.running[team] -= 1
             self.service_s[team] += trio.current_time() - started_s
-        return True
 
 
 def _make_vm(index: int) -> VmEntry:
