--- a/comfreywind/entry/pool_queue.py
+++ b/comfreywind/entry/pool_queue.py
@@ -95,11 +95,11 @@
             peers_below_quota=self.plan.peers_below_quota,
         )
 
-    def make_loads(self) -> dict[str, list[int]]:
+    def make_loads(self) -> dict[str, tuple[int, ...]]:
         """Return the load of each team that has any, as it is reported to peers."""
         loads = {name: team.make_load() for name, team in self.teams.items()}
         return {
-            name: [int(count) for count in astuple(load)]
+            name: astuple(load)
             for name, load in loads.items()
             if load.demand
         }
--- a/comfreywind/peers/messages/load_report.py
+++ b/comfreywind/peers/messages/load_report.py
@@ -13,5 +13,5 @@
     to the sender's requests there. Both leave out what is zero.
     """
 
-    loads: dict[str, dict[str, list[int]]]
+    loads: dict[str, dict[str, tuple[int, ...]]]
     outstanding: dict[str, int]
