--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -57,10 +57,10 @@
         fleet_view: FleetView,
         units: UnitSource,
         clock: Clock,
+        judge: TargetJudge | None = None,
         policy: DispatchPolicy | None = None,
         entry_name: str = '',
         data_centre: str = '',
-        judge: TargetJudge | None = None,
         generator: random.Random | None = None,
     ) -> None:
         """Start with nothing waiting and follow the views and the units."""
--- a/comfreywind/entry/pool_queue.py
+++ b/comfreywind/entry/pool_queue.py
@@ -98,11 +98,7 @@
     def make_loads(self) -> dict[str, tuple[int, ...]]:
         """Return the load of each team that has any, as it is reported to peers."""
         loads = {name: team.make_load() for name, team in self.teams.items()}
-        return {
-            name: astuple(load)
-            for name, load in loads.items()
-            if load.demand
-        }
+        return {name: astuple(load) for name, load in loads.items() if load.demand}
 
     def renew_plan(
         self,
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -17,6 +17,7 @@
 from comfreywind.entry.operator_app import OperatorApp
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.target_client import TargetClient
+from comfreywind.entry.target_judge import AdmitAll
 from comfreywind.entry.vm_list_poller import poll_vm_list
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
@@ -43,9 +44,15 @@
     fleet_view = FleetView()
     feed = Feed(tables, objects, rules_view, fleet_view, clock)
     units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
-    policy = make_policy(settings.policy)
     dispatcher = Dispatcher(
-        rules_view, fleet_view, units, clock, policy, settings.name, settings.data_centre
+        rules_view,
+        fleet_view,
+        units,
+        clock,
+        AdmitAll(),
+        make_policy(settings.policy),
+        settings.name,
+        settings.data_centre,
     )
     load_exchange = LoadExchange(NoPeers(), dispatcher, clock)
     forwarder = Forwarder(
--- a/tests/helpers/dispatch_rig.py
+++ b/tests/helpers/dispatch_rig.py
@@ -82,9 +82,9 @@
             fleet_view,
             self.units[index],
             clock,
-            make_policy(policy),
-            f'entry-{index}',
-            'dc-1',
+            policy=make_policy(policy),
+            entry_name=f'entry-{index}',
+            data_centre='dc-1',
             generator=random.Random(index),
         )
         fleet_view.apply_vm_list(self.vms)
