--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -169,6 +169,7 @@
             'peers': [address for address in self.peer_addresses if address != own_address],
             'operator_token_sha256': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest(),
             'timings': self.plan.timings,
+            **self.plan.entry_settings,
         }
         return FleetProcess(self.folder, f'entry-{index}', ['entry'], settings)
 
--- a/bench/fleet_plan.py
+++ b/bench/fleet_plan.py
@@ -33,3 +33,4 @@
     timings: dict[str, float] = field(default_factory=lambda: {'drain_notice_s': 0.2})
     vm_list_lag_s: float = 0.5
     target_processes: int = 1
+    entry_settings: dict[str, Any] = field(default_factory=dict)
