--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,6 +14,7 @@
 from bench.fleet_plan import FleetPlan
 from bench.fleet_process import FleetProcess
 from bench.ports import PORTS
+from bench.relay import Relay
 from comfreywind.cli.operator_client import call_operator
 from comfreywind.errors import PlatformError
 
@@ -34,6 +35,9 @@
         self.caller_addresses = [_make_address() for _ in range(plan.entries_count)]
         self.operator_addresses = [_make_address() for _ in range(plan.entries_count)]
         self.peer_addresses = [_make_address() for _ in range(plan.entries_count)]
+        self.relays = {
+            index: Relay(_make_address(), self.platform_address) for index in plan.relayed_entries
+        }
         self.vms = self._plan_vms()
         self.platform = self._make_platform()
         self.targets = self._make_targets()
@@ -83,6 +87,8 @@
         for process in self.processes:
             if process.is_running():
                 process.stop()
+        for relay in self.relays.values():
+            relay.cut()
         self._folder.cleanup()
 
     def call_operator(
@@ -91,11 +97,15 @@
         """Call the operator side of an entry and return the JSON reply."""
         return call_operator(self.operator_addresses[entry], OPERATOR_TOKEN, method, path, document)
 
-    def roll_out(self, version: int, bundle: object, entry: int = 0) -> None:
-        """Create, sign off and roll out a bundle version."""
+    def roll_out(self, version: int, bundle: object, entry: int = 0) -> Any:
+        """Create, sign off and roll out a bundle version; return the reply of the roll-out."""
+        self.prepare_version(version, bundle, entry)
+        return self.call_operator('POST', f'/v1/bundles/{version}/roll-out', entry=entry)
+
+    def prepare_version(self, version: int, bundle: object, entry: int = 0) -> None:
+        """Create and sign off a bundle version."""
         self.call_operator('POST', '/v1/bundles', {'version': version, 'bundle': bundle}, entry)
         self.call_operator('POST', f'/v1/bundles/{version}/sign-off', entry=entry)
-        self.call_operator('POST', f'/v1/bundles/{version}/roll-out', entry=entry)
 
     def grant_key(self, team: str) -> str:
         """Grant a key to the team and return its text."""
@@ -159,16 +169,18 @@
 
     def _make_entry(self, index: int) -> FleetProcess:
         own_address = self.peer_addresses[index]
+        relay = self.relays.get(index)
         settings = {
             'name': f'entry-{index}',
             'data_centre': self.plan.data_centres[index % len(self.plan.data_centres)],
             'caller_address': self.caller_addresses[index],
             'operator_address': self.operator_addresses[index],
             'peer_address': own_address,
-            'platform_address': self.platform_address,
+            'platform_address': relay.address if relay else self.platform_address,
             'peers': [address for address in self.peer_addresses if address != own_address],
             'operator_token_sha256': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest(),
             'timings': self.plan.timings,
+            **self.plan.entry_settings,
         }
         return FleetProcess(self.folder, f'entry-{index}', ['entry'], settings)
 
--- a/bench/fleet_plan.py
+++ b/bench/fleet_plan.py
@@ -22,7 +22,10 @@
 
 @dataclass(slots=True)
 class FleetPlan:
-    """Numbers of entries and executors by pool, the bundle and extra settings."""
+    """Numbers of entries and executors by pool, the bundle and extra settings.
+
+    The entries in `relayed_entries` reach the platform through a relay of their own.
+    """
 
     entries_count: int = 3
     executors_by_pool: dict[str, int] = field(default_factory=lambda: {'crossings': 4})
@@ -31,5 +34,7 @@
     data_centres: tuple[str, ...] = ('dc-1', 'dc-2', 'dc-3')
     bundle: dict[str, Any] = field(default_factory=lambda: DEFAULT_BUNDLE)
     timings: dict[str, float] = field(default_factory=lambda: {'drain_notice_s': 0.2})
+    entry_settings: dict[str, Any] = field(default_factory=dict)
+    relayed_entries: tuple[int, ...] = ()
     vm_list_lag_s: float = 0.5
     target_processes: int = 1
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes and real faults."""
--- /dev/null
+++ b/tests/processes/test_frozen_and_cold.py
@@ -0,0 +1,112 @@
+"""Entries that were frozen, cut off or started cold never serve an older version."""
+
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from bench.caller import call_entry
+from bench.fleet import Fleet, wait_until
+from bench.fleet_plan import FleetPlan
+from tests.helpers.versions import (
+    IN_FORCE_S,
+    make_bundle,
+    obeys_version,
+    read_problem,
+    wait_in_force,
+    withdraw_key,
+)
+
+FRESH_S = 4.0
+OUTAGE_S = 15.0
+NOT_SERVING_PROBLEMS = {'entry-starting', 'rules-stale'}
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    """Run a fleet of its own for each test, since the tests kill and freeze its entries."""
+    with Fleet(FleetPlan()) as running_fleet:
+        running_fleet.roll_out(2, make_bundle(2))
+        wait_until(lambda: obeys_version(running_fleet, 2, 2, 1), 'version 2')
+        yield running_fleet
+
+
+@pytest.mark.parametrize('store_down', [False, True], ids=['store up', 'store down'])
+def test_frozen_during_roll_out(fleet: Fleet, store_down: bool) -> None:
+    """Guards against the older version or a withdrawn key served by an entry that resumes."""
+    key = fleet.keys['rosters']
+    fleet.entries[2].freeze()
+    frozen_s = time.monotonic()
+    reply = fleet.roll_out(3, make_bundle(3))
+    assert reply['confirmed'] == ['entry-1']
+    assert reply['unconfirmed'] == ['entry-2']
+    assert withdraw_key(fleet, key)['unconfirmed'] == ['entry-2']
+    fleet.set_platform_faults(down=store_down)
+    wait_until(lambda: time.monotonic() > frozen_s + FRESH_S, 'end of the freshness')
+    fleet.entries[2].thaw()
+    resumed_s = time.monotonic()
+    served_at_s = None
+    while time.monotonic() < resumed_s + IN_FORCE_S and served_at_s is None:
+        assert read_problem(fleet, 2, '/queues/v2/work') != 'answered'
+        assert read_problem(fleet, 2, '/queues/rebuild/work', key) in {'key-unknown', 'rules-stale'}
+        if read_problem(fleet, 2, '/queues/v3/work') == 'answered':
+            served_at_s = time.monotonic()
+    assert served_at_s is not None
+
+
+def test_cold_start_without_store(fleet: Fleet) -> None:
+    """Guards against a cold entry that serves on the word of a minority, or never."""
+    fleet.roll_out(3, make_bundle(3))
+    fleet.set_platform_faults(down=True)
+    fleet.entries[2].kill()
+    fleet.entries[1].freeze()
+    fleet.entries[2].start()
+    wait_until(lambda: can_reach_operator(fleet, 2), 'operator side')
+    wait_until(lambda: count_alive(fleet, 2) == 1, 'stream from the other peer')
+    deadline_s = time.monotonic() + 1
+    while time.monotonic() < deadline_s:
+        assert read_problem(fleet, 2, '/queues/v3/work') in NOT_SERVING_PROBLEMS
+    fleet.entries[1].thaw()
+    wait_until(lambda: obeys_version(fleet, 2, 3, 2), 'version 3 on the cold entry', IN_FORCE_S)
+    assert read_problem(fleet, 2, '/queues/rebuild/work', fleet.keys['rosters']) == 'answered'
+
+
+def test_cut_off_entry_fails_closed(fleet: Fleet) -> None:
+    """Guards against an entry that keeps serving without the store and without peers."""
+    fleet.set_platform_faults(down=True)
+    for other in fleet.entries[1:]:
+        other.freeze()
+    wait_until(
+        lambda: read_problem(fleet, 0, '/queues/v2/work') == 'rules-stale', 'refusal', IN_FORCE_S
+    )
+    assert call_entry(fleet.caller_addresses[0], '/health/ready').status == 503
+    fleet.entries[1].thaw()
+    wait_until(lambda: obeys_version(fleet, 0, 2, 1), 'service with a majority', IN_FORCE_S)
+
+
+def test_all_entries_without_store(fleet: Fleet) -> None:
+    """Guards against a fleet that stops because of a store outage longer than the freshness."""
+    fleet.set_platform_faults(down=True)
+    started_s = time.monotonic()
+    while time.monotonic() < started_s + OUTAGE_S:
+        for entry in range(3):
+            assert read_problem(fleet, entry, '/queues/v2/work') == 'answered'
+        time.sleep(0.1)
+    fleet.set_platform_faults()
+    fleet.roll_out(3, make_bundle(3))
+    wait_in_force(fleet, 3, 2)
+
+
+def can_reach_operator(fleet: Fleet, entry: int) -> bool:
+    """Return whether the operator side of the entry answers."""
+    try:
+        fleet.call_operator('GET', '/v1/status', entry=entry)
+    except Exception:
+        return False
+    return True
+
+
+def count_alive(fleet: Fleet, entry: int) -> int:
+    """Return the number of members that the entry sees alive."""
+    members = fleet.call_operator('GET', '/v1/status', entry=entry)['members']
+    return sum(member['alive'] for member in members)
