--- a/comfreywind/decisions/pools/spares.py
+++ b/comfreywind/decisions/pools/spares.py
@@ -22,14 +22,17 @@
 
 
 def count_blocked(snapshot: PoolSnapshot, vms: tuple[PoolVm, ...]) -> int:
-    """Return 1 when a VM is overdue for maintenance and one more VM would allow its stop."""
+    """Return 1 when a VM is overdue for maintenance and one more VM would allow its stop.
+
+    While any VM is not available, maintenance waits for its return instead.
+    """
     due = list_due(snapshot, vms)
-    if not due or any(vm.stopping for vm in vms) or not snapshot.policy.maintenance_enabled:
+    failing = snapshot.find_failing()
+    if not due or failing or any(vm.state != VmState.ACTIVE for vm in vms):
         return 0
     overdue = snapshot.now_s - due[0].last_maintained_s >= snapshot.policy.maintenance_period_s
-    unavailable = snapshot.find_failing() | {due[0].name}
-    margin = compute_budget(vms, unavailable, snapshot.policy).margin
-    return int(overdue and margin == -1)
+    margin = compute_budget(vms, {due[0].name}, snapshot.policy).margin
+    return int(overdue and margin == -1 and snapshot.policy.maintenance_enabled)
 
 
 def choose_wanted(
