--- a/comfreywind/entry/dispatch_policy.py
+++ b/comfreywind/entry/dispatch_policy.py
@@ -8,7 +8,6 @@
 from comfreywind.entry.lane import Lane
 from comfreywind.entry.pool_queue import PoolQueue
 from comfreywind.entry.team_queue import TeamQueue
-from comfreywind.entry.ticket import Ticket
 from comfreywind.platform.vm_entry import VmEntry
 
 
@@ -24,7 +23,9 @@
     def choose_lane(self, team: TeamQueue) -> Lane:
         """Return the lane of the team that goes first."""
 
-    def choose_target(self, pool: PoolQueue, urgent: bool, ticket: Ticket) -> VmEntry | None:
+    def choose_target(
+        self, pool: PoolQueue, urgent: bool, excluded: frozenset[str]
+    ) -> VmEntry | None:
         """Return the target for a request, or None when it has to wait."""
 
 
@@ -42,10 +43,12 @@
         """Return the urgent lane when it is not empty."""
         return team.urgent if len(team.urgent) else team.normal
 
-    def choose_target(self, pool: PoolQueue, urgent: bool, ticket: Ticket) -> VmEntry | None:
+    def choose_target(
+        self, pool: PoolQueue, urgent: bool, excluded: frozenset[str]
+    ) -> VmEntry | None:
         """Return the less loaded of two random targets with room."""
         rule = decide_room(pool.make_room(), urgent)
-        return None if rule is RoomRule.NONE else pool.targets.choose(rule, ticket)
+        return None if rule is RoomRule.NONE else pool.targets.choose(rule, excluded)
 
 
 class NaivePolicy:
@@ -63,9 +66,11 @@
         lanes = [lane for lane in (team.urgent, team.normal) if len(lane)]
         return min(lanes, key=lambda lane: next(lane.peek(1)).number)
 
-    def choose_target(self, pool: PoolQueue, urgent: bool, ticket: Ticket) -> VmEntry | None:
+    def choose_target(
+        self, pool: PoolQueue, urgent: bool, excluded: frozenset[str]
+    ) -> VmEntry | None:
         """Return a random target to which this entry has less outstanding than its slots."""
-        return pool.targets.choose_blindly(ticket)
+        return pool.targets.choose_blindly(excluded)
 
 
 def make_policy(name: str) -> DispatchPolicy:
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -57,23 +57,22 @@
         fleet_view: FleetView,
         units: UnitSource,
         clock: Clock,
-        judge: TargetJudge | None = None,
         policy: DispatchPolicy | None = None,
-        entry_name: str = '',
         data_centre: str = '',
         generator: random.Random | None = None,
+        target_health: TargetJudge | None = None,
+        entry_name: str = '',
     ) -> None:
         """Start with nothing waiting and follow the views and the units."""
         self._rules_view = rules_view
         self._fleet_view = fleet_view
         self._units = units
         self._clock = clock
+        self._target_health = target_health or AdmitAll()
         self._policy = policy or SharesPolicy()
         self._entry_name = entry_name
         self._data_centre = data_centre
-        self._judge = judge or AdmitAll()
         self._generator = generator or random.Random()
-        self._not_run: set[int] = set()
         self._numbers = itertools.count(1)
         self._pools: dict[str, PoolQueue] = {}
         self._unit_demand = UnitDemand(units)
@@ -94,25 +93,20 @@
     async def reacquire(self, ticket: Ticket, placement: Placement) -> Placement:
         """Return another place for a request that the target of `placement` has not run.
 
-        The placement is given back, and the request waits at the front of its queue. Raises
-        RefusalError when there is no place in time.
+        The placement is given back, its target counts as full for a moment, and the request waits
+        at the front of its queue. Raises RefusalError when there is no place in time.
         """
-        self.mark_not_run(placement)
-        self._give_back(placement)
+        pool = self._find_pool(placement.pool)
+        pool.undo_start(placement, self._clock.read_monotonic_s() + FULL_MARK_S)
+        self._return_unit(placement)
         return await self.acquire(replace(ticket, at_front=True))
 
-    def mark_not_run(self, placement: Placement) -> None:
-        """Note that the target refused the request for lack of a slot, before it is released.
-
-        The target then counts as full for a moment, and the run time of the request is not taken
-        into the estimates.
-        """
-        self._not_run.add(id(placement))
-
     def release(self, placement: Placement) -> None:
         """Return the unit and the slot of a request that has ended."""
-        self._give_back(placement)
-        self._start_waiting(self._find_pool(placement.pool))
+        pool = self._find_pool(placement.pool)
+        pool.note_finish(placement, self._clock.read_monotonic_s())
+        self._return_unit(placement)
+        self._start_waiting(pool)
 
     def read_outstanding(self) -> dict[str, int]:
         """Return the number of requests that hold a slot, by target, without zeros."""
@@ -244,13 +238,18 @@
         for waiter in lane.peek(LOOK_AHEAD):
             if self._is_too_late(team, waiter):
                 return self._refuse_late(pool, waiter)
-            target = self._policy.choose_target(pool, urgent_first, waiter.ticket)
+            excluded = self._list_excluded(waiter.ticket)
+            target = self._policy.choose_target(pool, urgent_first, excluded)
             if target is not None:
                 return self._take_unit_and_start(pool, team, waiter, target)
-            if not waiter.ticket.excluded_targets:
+            if not excluded:
                 return StartResult.NO_ROOM
         return StartResult.TEAM_BLOCKED
 
+    def _list_excluded(self, ticket: Ticket) -> frozenset[str]:
+        ejected = self._target_health.list_ejected(ticket.idempotent)
+        return ticket.excluded_targets | ejected
+
     def _is_too_late(self, team: TeamQueue, waiter: Waiter) -> bool:
         now_s = self._clock.read_monotonic_s()
         left_s = waiter.ticket.deadline_s - now_s
@@ -285,21 +284,15 @@
         _wake_task(waiter)
         return StartResult.PROGRESS
 
-    def _give_back(self, placement: Placement) -> None:
-        pool = self._find_pool(placement.pool)
-        now_s = self._clock.read_monotonic_s()
-        if id(placement) in self._not_run:
-            self._not_run.remove(id(placement))
-            pool.undo_start(placement, now_s + FULL_MARK_S)
-        else:
-            pool.note_finish(placement, now_s)
+    def _return_unit(self, placement: Placement) -> None:
         self._units.give_back(placement.team)
         self.wake_team(placement.team)
 
     def _find_pool(self, name: str) -> PoolQueue:
         pool = self._pools.get(name)
         if pool is None:
-            pool = PoolQueue(TargetPool(self._data_centre, self._judge, self._generator))
+            read_failure_load = self._target_health.count_failure_load
+            pool = PoolQueue(TargetPool(self._data_centre, self._generator, read_failure_load))
             self._pools[name] = pool
             pool.targets.replace_vms(self._fleet_view.list_usable(name), self._read_slots(name))
         return pool
--- a/comfreywind/entry/target_judge.py
+++ b/comfreywind/entry/target_judge.py
@@ -2,26 +2,26 @@
 
 from typing import Protocol
 
-from comfreywind.platform.vm_entry import VmEntry
+NOTHING_EJECTED: frozenset[str] = frozenset()
 
 
 class TargetJudge(Protocol):
-    """Admits targets to the choice and adds to their load."""
+    """Keeps targets from the choice and adds to their load."""
 
-    def admits(self, vm: VmEntry, idempotent: bool) -> bool:
-        """Return whether the target may get a request of this kind now."""
+    def list_ejected(self, idempotent: bool) -> frozenset[str]:
+        """Return the names of the targets that may not get a request of this kind now."""
 
-    def count_failure_load(self, vm: VmEntry) -> int:
+    def count_failure_load(self, name: str) -> int:
         """Return how many outstanding requests recent failures of the target count as."""
 
 
 class AdmitAll:
     """Admits every target."""
 
-    def admits(self, vm: VmEntry, idempotent: bool) -> bool:
-        """Return that it may."""
-        return True
+    def list_ejected(self, idempotent: bool) -> frozenset[str]:
+        """Return no target."""
+        return NOTHING_EJECTED
 
-    def count_failure_load(self, vm: VmEntry) -> int:
+    def count_failure_load(self, name: str) -> int:
         """Return no load."""
         return 0
