--- a/bench/experiments/share_scenario.py
+++ b/bench/experiments/share_scenario.py
@@ -40,6 +40,7 @@
     run_s: float = 0.2
     wait_s: float = 2.0
     duration_s: float = 13.0
+    warm_up_s: float = WARM_UP_S
 
     def make_bundle(self) -> dict[str, Any]:
         """Return the rule bundle."""
@@ -78,7 +79,7 @@
         return LoadPlan(
             streams=tuple(streams),
             duration_s=self.duration_s,
-            warm_up_s=WARM_UP_S,
+            warm_up_s=self.warm_up_s,
             processes=2,
             watched_pids=watched_pids,
         )
--- a/bench/load.py
+++ b/bench/load.py
@@ -31,6 +31,7 @@
     """Run the plan in its processes and return the sum of their results."""
     stand_ins = [psutil.Process(pid) for pid in plan.watched_pids]
     used_s = [read_cpu_s(process) for process in stand_ins]
+    psutil.cpu_percent()
     start_s = time.monotonic() + START_DELAY_S
     workers = [_start_worker(plan, worker, start_s) for worker in range(plan.processes)]
     time.sleep(max(0, start_s + plan.duration_s - time.monotonic()))
@@ -38,8 +39,10 @@
         (read_cpu_s(process) - used) / (plan.duration_s + START_DELAY_S)
         for process, used in zip(stand_ins, used_s, strict=True)
     ]
+    machine_ratio = psutil.cpu_percent() / 100
     load = _sum_documents(plan, [_read_worker(worker) for worker in workers])
     load.busiest_stand_in_ratio = max(busy, default=0)
+    load.machine_ratio = machine_ratio
     load.faults = find_faults(load)
     return load
 
@@ -61,6 +64,10 @@
             load.busiest_stand_in_ratio <= BUSY_RATIO,
             f'a stand-in used {load.busiest_stand_in_ratio:.0%} of a core and may be the limit',
         ),
+        (
+            load.machine_ratio <= BUSY_RATIO,
+            f'all cores together were {load.machine_ratio:.0%} busy and may be the limit',
+        ),
     )
     return [fault for passed, fault in checks if not passed]
 
@@ -85,6 +92,7 @@
         'lag': read_quantiles_ms(load.lag_us),
         'busiest_loader_ratio': round(load.busiest_loader_ratio, 3),
         'busiest_stand_in_ratio': round(load.busiest_stand_in_ratio, 3),
+        'machine_ratio': round(load.machine_ratio, 3),
         'all': _describe_stream(load.sum_streams(range(len(plan.streams))), measured_s),
         'streams': rows,
     }
--- a/bench/load_result.py
+++ b/bench/load_result.py
@@ -77,6 +77,7 @@
     lag_us: Any = field(default_factory=make_histogram)
     busiest_loader_ratio: float = 0
     busiest_stand_in_ratio: float = 0
+    machine_ratio: float = 0
     faults: list[str] = field(default_factory=list)
 
     @property
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -3,6 +3,7 @@
 import enum
 import itertools
 import random
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import replace
 
@@ -38,6 +39,9 @@
 # Requests behind the first one that are looked at when the first excludes all targets with room.
 LOOK_AHEAD = 4
 SLOTS_UNKNOWN = 0
+# Bounds a report that goes to every peer four times a second. The targets with most requests are
+# those that a peer might find full.
+REPORTED_TARGETS_LIMIT = 64
 
 
 class StartResult(enum.Enum):
@@ -114,10 +118,10 @@
 
     def read_outstanding(self) -> dict[str, int]:
         """Return the number of requests that hold a slot, by target, without zeros."""
-        outstanding: dict[str, int] = {}
+        outstanding: Counter[str] = Counter()
         for pool in self._pools.values():
             outstanding.update(pool.targets.own_outstanding)
-        return outstanding
+        return dict(outstanding)
 
     def wake_team(self, team: str) -> None:
         """Start what waits for a unit of the team."""
@@ -140,7 +144,8 @@
         """Return the load of this entry for its peers."""
         loads = {name: pool.make_loads() for name, pool in self._pools.items()}
         named_loads = {name: teams for name, teams in loads.items() if teams}
-        return LoadReport(named_loads, self.read_outstanding())
+        outstanding = Counter(self.read_outstanding())
+        return LoadReport(named_loads, dict(outstanding.most_common(REPORTED_TARGETS_LIMIT)))
 
     def apply_reports(self, reports: Mapping[str, LoadReport]) -> None:
         """Take the recent reports of all peers and divide the pools anew."""
