Hold ceilings by portions: session, rows, transfers and fences of an entry

PortionKeeper implements UnitSource over the decisions of decisions/portions/ and replaces EvenSplitUnits as the default (setting unit_policy: portions | even-split).

Rows are read by one feed read of three tables of its own, so that members and portions are one

--- a/comfreywind/decisions/portions/ledger_changes.py
+++ b/comfreywind/decisions/portions/ledger_changes.py
@@ -70,6 +70,11 @@
     return replace(ledger, returning_units=returning_units, pending_version=ledger.row_version)
 
 
+def clear_write(ledger: Ledger) -> Ledger:
+    """Return the ledger after a write was refused for certain."""
+    return replace(ledger, returning_units=0, pending_version=None)
+
+
 def list_flows(ledger: Ledger) -> Totals:
     """Return all flows from and to this entry."""
     given = [(make_flow(ledger.holder, peer), total) for peer, total in ledger.given]
--- a/comfreywind/entry/even_split_units.py
+++ b/comfreywind/entry/even_split_units.py
@@ -38,3 +38,9 @@
 
     def subscribe(self, wake_team: WakeTeam) -> None:
         """Ignore the function; units come back through `give_back` only."""
+
+    async def run(self) -> None:
+        """Do nothing; the split is fixed."""
+
+    async def leave(self) -> None:
+        """Do nothing; the split stays as it is when entries leave."""
--- /dev/null
+++ b/comfreywind/entry/portions/portion_book.py
@@ -0,0 +1,179 @@
+"""Session and units of this entry in memory."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from comfreywind.clock import Clock
+from comfreywind.decisions.portions.guard import Guard, is_committed, is_session_valid
+from comfreywind.decisions.portions.guard_effects import GuardEffect
+from comfreywind.decisions.portions.guard_events import FenceSeen, GuardEvent
+from comfreywind.decisions.portions.guard_step import apply_guard_event
+from comfreywind.decisions.portions.ledger import Ledger
+from comfreywind.decisions.portions.ledger_changes import (
+    count_held_units,
+    is_blocked,
+    list_flows_with,
+    see_row,
+)
+from comfreywind.decisions.portions.totals import Totals
+from comfreywind.entry.portions.portion_codec import make_resource, read_team
+from comfreywind.entry.portions.portion_view import PortionView
+from comfreywind.entry.rules_view import RulesView
+
+NO_SESSION_S = -1.0
+WakeTeam = Callable[[str], None]
+
+
+class PortionBook:
+    """Owns the guard, the ledgers and the counts of units in use; all changes are synchronous."""
+
+    def __init__(self, view: PortionView, rules_view: RulesView, clock: Clock) -> None:
+        """Start without a session; `guard` is set when this entry has joined."""
+        self._view = view
+        self._rules_view = rules_view
+        self._clock = clock
+        self._ledgers: dict[str, Ledger] = {}
+        self._held: dict[str, int] = {}
+        self._wake_functions: list[WakeTeam] = []
+        self.guard: Guard | None = None
+        self.leaving = False
+        self.used: Counter[str] = Counter()
+        self.orphaned: Counter[str] = Counter()
+        self.waiting: defaultdict[str, int] = defaultdict(int)
+
+    @property
+    def holder(self) -> str:
+        """Return the name under which this entry holds units, empty before it has joined."""
+        return self.guard.holder if self.guard else ''
+
+    def subscribe(self, wake_team: WakeTeam) -> None:
+        """Call the function with a team's name when units of it arrive."""
+        self._wake_functions.append(wake_team)
+
+    def wake(self, teams: Iterable[str]) -> None:
+        """Tell that work of the teams may start again."""
+        for team in teams:
+            for wake_team in self._wake_functions:
+                wake_team(team)
+
+    def join(self, guard: Guard) -> None:
+        """Start as a new incarnation that holds nothing.
+
+        Work that the last incarnation started runs on; its units are reclaimed by time and don't
+        count here. What this process promised to others still holds.
+        """
+        former = self.guard
+        self.guard = guard
+        if former is not None:
+            self.guard = replace(guard, granted=former.granted, commitments=former.commitments)
+        self.orphaned.update(self.used)
+        self.used.clear()
+        self._ledgers.clear()
+        self._held.clear()
+        for resource in self._view.portions:
+            self.see_portion(resource)
+
+    def apply(self, event: GuardEvent) -> tuple[GuardEffect, ...]:
+        """Apply the event to the guard and return the effects; nothing before the join."""
+        if self.guard is None:
+            return ()
+        guard, effects = apply_guard_event(event, self.guard)
+        self.guard = guard
+        return effects
+
+    def note_fence(self) -> None:
+        """End the session of this incarnation for good."""
+        self.apply(FenceSeen())
+
+    def is_joined(self) -> bool:
+        """Return whether this entry is a member that, as far as it knows, is not fenced."""
+        return self.guard is not None and not self.guard.fenced
+
+    def is_valid(self) -> bool:
+        """Return whether work may start and units may be traded."""
+        if self.guard is None or self.leaving:
+            return False
+        return is_session_valid(self.guard, self._clock.read_monotonic_s())
+
+    def read_session_left_s(self) -> float:
+        """Return the seconds until the session ends, negative without one."""
+        if self.guard is None or self.guard.fenced:
+            return NO_SESSION_S
+        return self.guard.valid_until_s - self._clock.read_monotonic_s()
+
+    def may_trade(self, holder: str) -> bool:
+        """Return whether units may be given to the holder or received from it."""
+        return self.guard is not None and self.is_valid() and not is_committed(self.guard, holder)
+
+    def try_take(self, team: str) -> bool:
+        """Use one idle unit of the team if there is one and work may start."""
+        if not self.is_valid() or self.is_blocked(team) or self.count_idle(team) <= 0:
+            return False
+        self.used[team] += 1
+        return True
+
+    def give_back(self, team: str) -> None:
+        """Free one unit; those of an earlier incarnation first, as they can't be told apart."""
+        if self.orphaned[team] > 0:
+            self.orphaned[team] -= 1
+            return
+        self.used[team] -= 1
+
+    def is_blocked(self, team: str) -> bool:
+        """Return whether the ceiling was lowered and too much is still allocated."""
+        rules = self._rules_view.rules
+        if rules is None or team not in rules.teams:
+            return True
+        ledger = self.find_ledger(make_resource(team))
+        return is_blocked(ledger, rules.teams[team].ceiling_units, rules.version)
+
+    def count_held(self, team: str) -> int:
+        """Return the units of the team that this entry holds."""
+        return self._held.get(team, 0)
+
+    def count_idle(self, team: str) -> int:
+        """Return the units of the team that no work uses."""
+        return self._held.get(team, 0) - self.used[team]
+
+    def count_demand(self, team: str) -> int:
+        """Return the units that running and waiting requests of the team need here."""
+        return self.used[team] + self.waiting[team]
+
+    def find_ledger(self, resource: str) -> Ledger:
+        """Return the ledger of the resource, empty when there is none."""
+        ledger = self._ledgers.get(resource)
+        if ledger is not None:
+            return ledger
+        version, row = self._view.read_portion(resource)
+        return see_row(Ledger(self.holder), row, version)
+
+    def set_ledger(self, resource: str, ledger: Ledger) -> None:
+        """Keep a changed ledger."""
+        self._ledgers[resource] = ledger
+        self._held[read_team(resource)] = count_held_units(ledger)
+
+    def see_portion(self, resource: str) -> bool:
+        """Take the newest row of the resource and return whether work may start that could not."""
+        if self.guard is None:
+            return False
+        team = read_team(resource)
+        version, row = self._view.read_portion(resource)
+        ledger = self.find_ledger(resource)
+        held_before = self._held.get(team, 0)
+        blocked_before = self.is_blocked(team)
+        self.set_ledger(resource, see_row(ledger, row, version))
+        unblocked = blocked_before and not self.is_blocked(team)
+        return unblocked or self._held[team] > held_before
+
+    def list_flows_with(self, holder: str) -> tuple[tuple[str, Totals], ...]:
+        """Return by resource all flows between this entry and the holder."""
+        flows = [
+            (resource, list_flows_with(ledger, holder))
+            for resource, ledger in sorted(self._ledgers.items())
+        ]
+        return tuple((resource, totals) for resource, totals in flows if totals)
+
+    def list_resources(self) -> list[str]:
+        """Return the resources with a ledger."""
+        return sorted(self._ledgers)
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -11,7 +11,6 @@
 from comfreywind.entry.confirmations import Confirmations
 from comfreywind.entry.dispatch_policy import make_policy
 from comfreywind.entry.dispatcher import Dispatcher
-from comfreywind.entry.even_split_units import EvenSplitUnits
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
@@ -24,6 +23,7 @@
 from comfreywind.entry.operator_app import OperatorApp
 from comfreywind.entry.propagation import Propagation
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.unit_policy import make_units
 from comfreywind.entry.target_client import TargetClient
 from comfreywind.entry.vm_list_poller import poll_vm_list
 from comfreywind.http.client import HttpClient
@@ -68,7 +68,7 @@
         hub, rules_view, fleet_view, clock, timings, push=settings.push_changes
     )
     feed = Feed(tables, objects, rules_view, fleet_view, clock, control_view)
-    units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
+    units = make_units(settings, hub, tables, rules_view, clock, decisions)
     policy = make_policy(settings.policy)
     dispatcher = Dispatcher(rules_view, fleet_view, units, clock, policy, settings.data_centre)
     load_exchange = LoadExchange(hub, dispatcher, clock)
@@ -117,6 +117,7 @@
         await nursery.start(set_on_termination, termination)
         await nursery.start(hub.run)
         nursery.start_soon(feed.run, timings.feed_interval_s)
+        nursery.start_soon(units.run)
         nursery.start_soon(summaries.run, recorder, timings.summary_interval_s)
         nursery.start_soon(load_exchange.run, timings.heartbeat_interval_s)
         nursery.start_soon(poll_vm_list, vm_list_client, fleet_view, timings.vm_list_interval_s)
@@ -130,6 +131,7 @@
             await termination.wait()
             await control.release()
             await stop_serving(caller_app, timings)
+            await units.leave()
             shutdown.set()
         with trio.move_on_after(timings.platform_timeout_s):
             await decision_store.flush()
--- /dev/null
+++ b/comfreywind/peers/messages/units_transfer.py
@@ -0,0 +1,19 @@
+"""Units given to a peer."""
+
+from dataclasses import dataclass
+
+from comfreywind.peers.peer_message import PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class UnitsTransfer(PeerMessage):
+    """All units that `giver` has ever given to `receiver`; a repeated message adds nothing.
+
+    `idle_units` is what the giver has left to give. An unchanged total refuses a request.
+    """
+
+    giver: str
+    receiver: str
+    resource: str
+    total_units: int
+    idle_units: int
--- a/comfreywind/settings/entry.py
+++ b/comfreywind/settings/entry.py
@@ -30,4 +30,5 @@
     buffer_limit_bytes: int = Field(default=65_536, ge=0)
     push_changes: bool = True
     policy: Literal['shares', 'naive'] = 'shares'
+    unit_policy: Literal['portions', 'even-split'] = 'portions'
     timings: Timings = Timings()
