--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -25,6 +25,7 @@
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.unit_policy import make_units
 from comfreywind.entry.target_client import TargetClient
+from comfreywind.entry.target_judge import AdmitAll
 from comfreywind.entry.vm_list_poller import poll_vm_list
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
@@ -69,8 +70,16 @@
     )
     feed = Feed(tables, objects, rules_view, fleet_view, clock, control_view)
     units = make_units(settings, hub, tables, rules_view, clock, decisions)
-    policy = make_policy(settings.policy)
-    dispatcher = Dispatcher(rules_view, fleet_view, units, clock, policy, settings.data_centre)
+    dispatcher = Dispatcher(
+        rules_view,
+        fleet_view,
+        units,
+        clock,
+        AdmitAll(),
+        make_policy(settings.policy),
+        settings.name,
+        settings.data_centre,
+    )
     load_exchange = LoadExchange(hub, dispatcher, clock)
     hub.set_heartbeat_source(HeartbeatSource(rules_view, fleet_view, dispatcher).make_heartbeat)
     control = make_control(
--- /dev/null
+++ b/tests/test_portions_fleet.py
@@ -0,0 +1,172 @@
+"""Ceilings with real processes that are killed, frozen and cut off from the store."""
+
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from bench.fleet import Fleet, wait_until
+from bench.fleet_plan import FleetPlan
+from bench.steady_load import SteadyLoad
+
+TEAM = 'timetables'
+CEILING = 12
+MAX_RUN_S = 2
+SESSION_TTL_S = 2
+RUN_MARGIN_S = 1
+# The time to live with drift, a feed poll, the ranks of the entries and two periods of the fence task.
+FENCE_LIMIT_S = SESSION_TTL_S * 1.01 + 2
+RECLAIM_LIMIT_S = FENCE_LIMIT_S + MAX_RUN_S + RUN_MARGIN_S + 1.5
+FOLLOW_LIMIT_S = 3
+
+
+def make_bundle(ceiling_units: int) -> dict[str, object]:
+    """Return a bundle whose team is limited by its ceiling only."""
+    return {
+        'teams': {TEAM: {'ceiling_units': ceiling_units}},
+        'pools': {'crossings': {'max_run_s': MAX_RUN_S, 'minimum_available_ratio': 0.1}},
+        'queues': {'rebuild': {'pool': 'crossings', 'teams': [TEAM]}},
+    }
+
+
+@pytest.fixture
+def portion_fleet() -> Iterator[Fleet]:
+    """Run three entries whose targets have far more slots than the ceiling."""
+    timings = {
+        'drain_notice_s': 0.2,
+        'session_ttl_s': SESSION_TTL_S,
+        'renew_interval_s': 0.5,
+        'run_margin_s': RUN_MARGIN_S,
+        'platform_timeout_s': 0.5,
+    }
+    plan = FleetPlan(
+        executors_by_pool={'crossings': 4}, bundle=make_bundle(CEILING), timings=timings
+    )
+    with Fleet(plan) as fleet:
+        yield fleet
+
+
+def read_running(fleet: Fleet) -> int:
+    """Return what runs now for the team, and check that it was never above the ceiling."""
+    log = fleet.read_run_log()
+    assert log['highest_running'].get(TEAM, 0) <= CEILING
+    return log['running'].get(TEAM, 0)
+
+
+def wait_for_full_use(fleet: Fleet, timeout_s: float) -> None:
+    """Wait until all units, or all but one that is on its way, run work."""
+    wait_until(lambda: read_running(fleet) >= CEILING - 1, 'work at the ceiling', timeout_s)
+
+
+def test_units_follow_the_load(portion_fleet: Fleet) -> None:
+    """Guards against units that stay at entries that have no use for them."""
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.2) as load:
+        for busy in (0, 1, 2, 0):
+            for entry in range(3):
+                load.set_callers(entry, 30 if entry == busy else 0)
+            wait_until(lambda: read_running(portion_fleet) < CEILING, 'a free unit')
+            wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+        for entry in range(3):
+            load.set_callers(entry, 10)
+        answered_before = dict(load.answered)
+        wait_until(
+            lambda: all(load.answered[entry] >= answered_before[entry] + 10 for entry in range(3)),
+            'work on all entries',
+        )
+    read_running(portion_fleet)
+
+
+def test_killed_entry(portion_fleet: Fleet) -> None:
+    """Guards against units lost with a killed entry, and against using them while its work runs."""
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.5) as load:
+        for entry in range(3):
+            load.set_callers(entry, 12)
+        wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+        portion_fleet.entries[1].kill()
+        wait_until(lambda: read_running(portion_fleet) < CEILING - 1, 'idle units', 5)
+        wait_for_full_use(portion_fleet, RECLAIM_LIMIT_S)
+        portion_fleet.entries[1].start()
+        answered_before = load.answered[1]
+        wait_until(lambda: load.answered[1] > answered_before, 'work on the new process')
+    read_running(portion_fleet)
+
+
+def test_frozen_entry(portion_fleet: Fleet) -> None:
+    """Guards against a frozen entry that starts work with units that others have reclaimed."""
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.5) as load:
+        for entry in range(3):
+            load.set_callers(entry, 12)
+        wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+        portion_fleet.entries[1].freeze()
+        wait_until(lambda: read_running(portion_fleet) < CEILING - 1, 'idle units', 5)
+        wait_for_full_use(portion_fleet, RECLAIM_LIMIT_S)
+        portion_fleet.entries[1].thaw()
+        answered_before = load.answered[1]
+        wait_until(lambda: load.answered[1] > answered_before + 5, 'work on the resumed entry')
+    read_running(portion_fleet)
+    assert 'was fenced' in portion_fleet.entries[1].read_log()
+
+
+def test_store_outage(portion_fleet: Fleet) -> None:
+    """Guards against work that stops, or units that stay where they are, while the store is down."""
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.2) as load:
+        load.set_callers(0, 30)
+        wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+        portion_fleet.set_platform_faults(down=True)
+        down_s = time.monotonic()
+        for busy in (1, 2, 0, 1, 2, 0):
+            for entry in range(3):
+                load.set_callers(entry, 30 if entry == busy else 0)
+            wait_until(lambda: read_running(portion_fleet) < CEILING, 'a free unit')
+            wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+            answered_before = load.answered[busy]
+            wait_until(lambda: load.answered[busy] > answered_before + 30, 'work by promises')
+        assert time.monotonic() - down_s > SESSION_TTL_S
+        portion_fleet.set_platform_faults()
+        load.set_callers(1, 30)
+        wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+    read_running(portion_fleet)
+    assert not any('was fenced' in entry.read_log() for entry in portion_fleet.entries)
+
+
+def test_lost_replies(portion_fleet: Fleet) -> None:
+    """Guards against units counted twice or lost when a write took effect but its reply was lost."""
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.2) as load:
+        for busy in (0, 1, 2):
+            portion_fleet.set_platform_faults(lose_replies=6)
+            for entry in range(3):
+                load.set_callers(entry, 30 if entry == busy else 0)
+            wait_for_full_use(portion_fleet, 2 * FOLLOW_LIMIT_S)
+    read_running(portion_fleet)
+
+
+def test_lowered_ceiling(portion_fleet: Fleet) -> None:
+    """Guards against starts while more than the new ceiling runs, and against cutting off work."""
+    lowered = CEILING // 3
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 1.5) as load:
+        for entry in range(3):
+            load.set_callers(entry, 12)
+        wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+        portion_fleet.roll_out(2, make_bundle(lowered))
+        wait_until(lambda: _is_in_force(portion_fleet, 2), 'version 2 on all entries')
+        started = len(portion_fleet.read_run_log()['runs'])
+        deadline_s = time.monotonic() + 6
+        below_s = 0.0
+        while time.monotonic() < deadline_s:
+            log = portion_fleet.read_run_log()
+            running = log['running'][TEAM]
+            assert len(log['runs']) == started or running <= lowered
+            started = len(log['runs'])
+            below_s = below_s or (time.monotonic() if running <= lowered else 0)
+        assert below_s
+        assert running == lowered
+        portion_fleet.roll_out(3, make_bundle(CEILING))
+        wait_for_full_use(portion_fleet, 2 * FOLLOW_LIMIT_S)
+    read_running(portion_fleet)
+
+
+def _is_in_force(fleet: Fleet, version: int) -> bool:
+    return all(
+        fleet.call_operator('GET', '/v1/status', entry=entry)['bundle_version'] == version
+        for entry in range(3)
+    )
