--- a/bench/experiments/shares.py
+++ b/bench/experiments/shares.py
@@ -20,6 +20,7 @@
 from bench.fleet_plan import FleetPlan
 from bench.load import read_cpu_s, run_load
 
+UNIT_POLICIES = {'shares': 'portions', 'naive': 'even-split'}
 HEADINGS = (
     'scenario',
     'policy',
@@ -43,7 +44,7 @@
         executors_by_pool={POOL: EXECUTORS},
         slots=SLOTS_PER_EXECUTOR,
         bundle=scenario.make_bundle(),
-        entry_settings={'policy': policy},
+        entry_settings={'policy': policy, 'unit_policy': UNIT_POLICIES[policy]},
     )
     with Fleet(fleet_plan) as fleet:
         pids = tuple(process.pid for process in (*fleet.targets, fleet.platform))
