--- a/comfreywind/entry/dispatch_policy.py
+++ b/comfreywind/entry/dispatch_policy.py
@@ -8,6 +8,7 @@
 from comfreywind.entry.lane import Lane
 from comfreywind.entry.pool_queue import PoolQueue
 from comfreywind.entry.team_queue import TeamQueue
+from comfreywind.entry.ticket import Ticket
 from comfreywind.platform.vm_entry import VmEntry
 
 
@@ -23,9 +24,7 @@
     def choose_lane(self, team: TeamQueue) -> Lane:
         """Return the lane of the team that goes first."""
 
-    def choose_target(
-        self, pool: PoolQueue, urgent: bool, excluded: frozenset[str]
-    ) -> VmEntry | None:
+    def choose_target(self, pool: PoolQueue, urgent: bool, ticket: Ticket) -> VmEntry | None:
         """Return the target for a request, or None when it has to wait."""
 
 
@@ -43,12 +42,10 @@
         """Return the urgent lane when it is not empty."""
         return team.urgent if len(team.urgent) else team.normal
 
-    def choose_target(
-        self, pool: PoolQueue, urgent: bool, excluded: frozenset[str]
-    ) -> VmEntry | None:
+    def choose_target(self, pool: PoolQueue, urgent: bool, ticket: Ticket) -> VmEntry | None:
         """Return the less loaded of two random targets with room."""
         rule = decide_room(pool.make_room(), urgent)
-        return None if rule is RoomRule.NONE else pool.targets.choose(rule, excluded)
+        return None if rule is RoomRule.NONE else pool.targets.choose(rule, ticket)
 
 
 class NaivePolicy:
@@ -66,11 +63,9 @@
         lanes = [lane for lane in (team.urgent, team.normal) if len(lane)]
         return min(lanes, key=lambda lane: next(lane.peek(1)).number)
 
-    def choose_target(
-        self, pool: PoolQueue, urgent: bool, excluded: frozenset[str]
-    ) -> VmEntry | None:
+    def choose_target(self, pool: PoolQueue, urgent: bool, ticket: Ticket) -> VmEntry | None:
         """Return a random target to which this entry has less outstanding than its slots."""
-        return pool.targets.choose_blindly(excluded)
+        return pool.targets.choose_blindly(ticket)
 
 
 def make_policy(name: str) -> DispatchPolicy:
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -65,21 +65,21 @@
         fleet_view: FleetView,
         units: UnitSource,
         clock: Clock,
+        judge: TargetJudge | None = None,
         policy: DispatchPolicy | None = None,
+        entry_name: str = '',
         data_centre: str = '',
         generator: random.Random | None = None,
-        target_health: TargetJudge | None = None,
-        entry_name: str = '',
     ) -> None:
         """Start with nothing waiting and follow the views and the units."""
         self._rules_view = rules_view
         self._fleet_view = fleet_view
         self._units = units
         self._clock = clock
-        self._target_health = target_health or AdmitAll()
         self._policy = policy or SharesPolicy()
         self._entry_name = entry_name
         self._data_centre = data_centre
+        self._judge = judge or AdmitAll()
         self._generator = generator or random.Random()
         self._numbers = itertools.count(1)
         self._pools: dict[str, PoolQueue] = {}
@@ -249,18 +249,13 @@
         for waiter in lane.peek(LOOK_AHEAD):
             if self._is_too_late(team, waiter):
                 return self._refuse_late(pool, waiter)
-            excluded = self._list_excluded(waiter.ticket)
-            target = self._policy.choose_target(pool, urgent_first, excluded)
+            target = self._policy.choose_target(pool, urgent_first, waiter.ticket)
             if target is not None:
                 return self._take_unit_and_start(pool, team, waiter, target)
-            if not excluded:
+            if not waiter.ticket.excluded_targets:
                 return StartResult.NO_ROOM
         return StartResult.TEAM_BLOCKED
 
-    def _list_excluded(self, ticket: Ticket) -> frozenset[str]:
-        ejected = self._target_health.list_ejected(ticket.idempotent)
-        return ticket.excluded_targets | ejected
-
     def _is_too_late(self, team: TeamQueue, waiter: Waiter) -> bool:
         now_s = self._clock.read_monotonic_s()
         left_s = waiter.ticket.deadline_s - now_s
@@ -305,8 +300,7 @@
     def _find_pool(self, name: str) -> PoolQueue:
         pool = self._pools.get(name)
         if pool is None:
-            read_failure_load = self._target_health.count_failure_load
-            pool = PoolQueue(TargetPool(self._data_centre, self._generator, read_failure_load))
+            pool = PoolQueue(TargetPool(self._data_centre, self._judge, self._generator))
             self._pools[name] = pool
             pool.targets.replace_vms(self._fleet_view.list_usable(name), self._read_slots(name))
         return pool
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -25,6 +25,7 @@
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.unit_policy import make_units
 from comfreywind.entry.target_client import TargetClient
+from comfreywind.entry.target_judge import AdmitAll
 from comfreywind.entry.vm_list_poller import poll_vm_list
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
@@ -74,9 +75,10 @@
         fleet_view,
         units,
         clock,
+        AdmitAll(),
         make_policy(settings.policy),
+        settings.name,
         settings.data_centre,
-        entry_name=settings.name,
     )
     load_exchange = LoadExchange(hub, dispatcher, clock)
     hub.set_heartbeat_source(HeartbeatSource(rules_view, fleet_view, dispatcher).make_heartbeat)
--- a/comfreywind/entry/target_judge.py
+++ b/comfreywind/entry/target_judge.py
@@ -2,26 +2,26 @@
 
 from typing import Protocol
 
-NOTHING_EJECTED: frozenset[str] = frozenset()
+from comfreywind.platform.vm_entry import VmEntry
 
 
 class TargetJudge(Protocol):
-    """Keeps targets from the choice and adds to their load."""
+    """Admits targets to the choice and adds to their load."""
 
-    def list_ejected(self, idempotent: bool) -> frozenset[str]:
-        """Return the names of the targets that may not get a request of this kind now."""
+    def admits(self, vm: VmEntry, idempotent: bool) -> bool:
+        """Return whether the target may get a request of this kind now."""
 
-    def count_failure_load(self, name: str) -> int:
+    def count_failure_load(self, vm: VmEntry) -> int:
         """Return how many outstanding requests recent failures of the target count as."""
 
 
 class AdmitAll:
     """Admits every target."""
 
-    def list_ejected(self, idempotent: bool) -> frozenset[str]:
-        """Return no target."""
-        return NOTHING_EJECTED
+    def admits(self, vm: VmEntry, idempotent: bool) -> bool:
+        """Return that it may."""
+        return True
 
-    def count_failure_load(self, name: str) -> int:
+    def count_failure_load(self, vm: VmEntry) -> int:
         """Return no load."""
         return 0
--- a/comfreywind/entry/target_pool.py
+++ b/comfreywind/entry/target_pool.py
@@ -2,12 +2,15 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import partial
 
 from comfreywind.decisions.room_rule import RoomRule
 from comfreywind.decisions.target_choice import choose_target
 from comfreywind.entry.name_set import NameSet
+from comfreywind.entry.target_judge import TargetJudge
+from comfreywind.entry.ticket import Ticket
 from comfreywind.platform.vm_entry import VmEntry
 
 
@@ -26,14 +29,9 @@
     according to their reports or, when that is more, to the target's refusal of a request.
     """
 
-    def __init__(
-        self,
-        data_centre: str,
-        generator: random.Random,
-        read_failure_load: Callable[[str], int] | None = None,
-    ) -> None:
-        """Start without targets; recent failures of a target count as load when one is chosen."""
-        self._read_failure_load = read_failure_load
+    def __init__(self, data_centre: str, judge: TargetJudge, generator: random.Random) -> None:
+        """Start without targets."""
+        self._judge = judge
         self._data_centre = data_centre
         self._generator = generator
         self._slots = 0
@@ -76,18 +74,19 @@
         for name in changed:
             self._update(name)
 
-    def choose(self, rule: RoomRule, excluded: frozenset[str]) -> VmEntry | None:
-        """Return a target that the rule allows and that is not excluded, or None."""
+    def choose(self, rule: RoomRule, ticket: Ticket) -> VmEntry | None:
+        """Return a target that the rule and the ticket allow, or None."""
+        is_allowed = partial(self._is_allowed, ticket)
         groups = (*self._with_room, *self._open) if rule is RoomRule.ANY else self._with_room
         for group in groups:
-            name = choose_target(group.names, self._read_choice_load, excluded, self._generator)
+            name = choose_target(group.names, self._read_weight, is_allowed, self._generator)
             if name is not None:
                 return self._vms[name]
         return None
 
-    def choose_blindly(self, excluded: frozenset[str]) -> VmEntry | None:
+    def choose_blindly(self, ticket: Ticket) -> VmEntry | None:
         """Return any target to which this entry has less outstanding than its slots, or None."""
-        names = [name for group in self._open for name in group if name not in excluded]
+        names = [name for group in self._open for name in group if self._is_allowed(ticket, name)]
         return self._vms[self._generator.choice(names)] if names else None
 
     def has_allowed(self, excluded: frozenset[str]) -> bool:
@@ -117,13 +116,17 @@
             del self._stated[name]
             self._update(name)
 
+    def _is_allowed(self, ticket: Ticket, name: str) -> bool:
+        if name in ticket.excluded_targets:
+            return False
+        return self._judge.admits(self._vms[name], ticket.idempotent)
+
+    def _read_weight(self, name: str) -> int:
+        return self._read_load(name) + self._judge.count_failure_load(self._vms[name])
+
     def _read_load(self, name: str) -> int:
         return self._own[name] + max(self._peers.get(name, 0), self._read_stated(name))
 
-    def _read_choice_load(self, name: str) -> int:
-        failure_load = 0 if self._read_failure_load is None else self._read_failure_load(name)
-        return self._read_load(name) + failure_load
-
     def _read_stated(self, name: str) -> int:
         stated = self._stated.get(name)
         return stated.outstanding if stated else 0
--- a/tests/test_share_decisions.py
+++ b/tests/test_share_decisions.py
@@ -197,14 +197,13 @@
     """Guards against an excluded target, and against no target while one is allowed."""
     target_names = [str(number) for number in range(count)]
     allowed = [name for name in target_names if int(name) not in excluded]
-    names_excluded = frozenset(map(str, excluded))
-    chosen = choose_target(target_names, int, names_excluded, random.Random(seed))
+    chosen = choose_target(target_names, int, allowed.__contains__, random.Random(seed))
     assert (chosen in allowed) if allowed else chosen is None
 
 
 def test_two_choices_avoid_the_most_loaded() -> None:
     """Guards against a choice that ignores the load."""
     generator = random.Random(1)
-    chosen = [choose_target(['1', '2', '3'], int, frozenset(), generator) for _ in range(300)]
+    chosen = [choose_target(['1', '2', '3'], int, bool, generator) for _ in range(300)]
     assert '3' not in chosen
     assert chosen.count('1') > chosen.count('2') > 0
