--- a/comfreywind/decisions/freshness.py
+++ b/comfreywind/decisions/freshness.py
@@ -11,36 +11,36 @@
     return confirmed_s is not None and now_s - confirmed_s <= fresh_s
 
 
-def count_needed_reports(other_members_count: int, cold: bool) -> int:
-    """Return how many peers must confirm the view.
+def count_needed_reports(members_count: int, cold: bool) -> int:
+    """Return how many reports must confirm the view, of all members including this entry.
 
-    An entry with a view is itself one vote of the majority of the members. A cold entry has no view
-    and needs a majority of its peers. One peer is needed at least, so that an entry cut off from
-    everything fails closed.
+    An entry that has had a fresh view counts its own report and needs a majority of the members. A
+    cold entry has no report of its own and needs a majority of the others. One peer is needed at
+    least, so that an entry cut off from everything fails closed.
     """
     if cold:
-        return other_members_count // 2 + 1
-    return max(1, (other_members_count + 1) // 2)
+        return (members_count - 1) // 2 + 1
+    return max(2, members_count // 2 + 1)
 
 
 def find_confirmed_s(
     own: OwnView, reports: Iterable[PeerReport], needed_count: int, oldest_s: float
 ) -> float | None:
-    """Return the time up to which enough peers confirm the own view as complete, or None.
+    """Return the time up to which enough reports confirm the own view as complete, or None.
 
-    Reports older than `oldest_s` don't count. A peer without rules confirms nothing. Any recent
+    Reports older than `oldest_s` don't count. A member without rules confirms nothing. Any recent
     report of something that this entry lacks withholds the confirmation until it has been fetched.
     """
     recent = [
         report
         for report in reports
-        if report.asked_s >= oldest_s and report.mark.bundle_version > 0
+        if report.as_of_s >= oldest_s and report.mark.bundle_version > 0
     ]
     if own.mark.bundle_version < own.accepted_version or len(recent) < needed_count:
         return None
     if not all(own.covers(report.mark) for report in recent):
         return None
-    return sorted((report.asked_s for report in recent), reverse=True)[needed_count - 1]
+    return sorted((report.as_of_s for report in recent), reverse=True)[needed_count - 1]
 
 
 def list_view_sources(own: OwnView, reports: Iterable[PeerReport]) -> list[str]:
--- a/comfreywind/decisions/peer_report.py
+++ b/comfreywind/decisions/peer_report.py
@@ -1,4 +1,4 @@
-"""What a peer has reported about its view."""
+"""What a member's report says about a view."""
 
 from dataclasses import dataclass
 
@@ -7,8 +7,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReport:
-    """A report that is newer than `asked_s` on this entry's own clock."""
+    """The mark of a member's view.
+
+    `as_of_s` is a time on this entry's own clock at or before which the member has last finished an
+    attempt to read the store: with success, and the mark holds what was read, or without. It is
+    when this entry sent the heartbeat that the report echoes, less the age of the attempt, so
+    neither a delay of the report nor a freeze of the member makes a report look younger.
+    """
 
     name: str
-    asked_s: float
+    as_of_s: float
     mark: ViewMark
--- a/comfreywind/entry/feed.py
+++ b/comfreywind/entry/feed.py
@@ -45,6 +45,7 @@
             try:
                 await self.poll_once()
             except ComfreywindError as error:
+                self._rules_view.note_attempt(self._clock.read_monotonic_s())
                 log.warning("the change feed can't be read: %s", error)
             await trio.sleep(interval_s)
 
--- a/comfreywind/entry/heartbeat_source.py
+++ b/comfreywind/entry/heartbeat_source.py
@@ -18,9 +18,11 @@
         return Heartbeat(
             sent_s=0,
             bundle_version=self._rules_view.read_version(),
+            accepted_version=self._rules_view.accepted_version,
             keys_digest=self._rules_view.keys_digest,
             vms_digest=self._fleet_view.rows_digest,
             sequence=self._rules_view.view_sequence,
             store_age_s=self._rules_view.read_store_age_s(),
+            attempt_age_s=self._rules_view.read_attempt_age_s(),
             fresh=self._rules_view.is_fresh(),
         )
--- a/comfreywind/entry/propagation.py
+++ b/comfreywind/entry/propagation.py
@@ -37,6 +37,7 @@
 REQUEST_INTERVAL_S = 0.25
 VM_LIST_INTERVAL_S = 3.0
 MERGED_DIGESTS_LIMIT = 64
+OWN_NAME = ''
 
 log = logging.getLogger('comfreywind.propagation')
 
@@ -121,7 +122,7 @@
             self._fleet_view.apply_vm_list(self._incoming_vms)
 
     def _receive_heartbeat(self, sender: PeerIdentity, heartbeat: Heartbeat) -> None:
-        self._rules_view.note_accepted(heartbeat.bundle_version)
+        self._rules_view.note_accepted(heartbeat.accepted_version)
         if self._misses_store():
             self._update_by_peers(sender, heartbeat)
 
@@ -132,7 +133,7 @@
     def _update_by_peers(self, sender: PeerIdentity, heartbeat: Heartbeat) -> None:
         members = self._hub.list_members()
         own = self._make_own_view()
-        reports = self._list_reports()
+        reports = self._list_reports(own)
         self._request_view(own, reports)
         self._request_vm_list(sender, heartbeat)
         if own.covers(_make_mark(heartbeat)):
@@ -140,7 +141,7 @@
         confirmed_s = find_confirmed_s(
             own,
             reports,
-            count_needed_reports(len(members), self._rules_view.is_cold()),
+            count_needed_reports(len(members) + 1, self._rules_view.is_cold()),
             self._clock.read_monotonic_s() - self._timings.fresh_s,
         )
         if confirmed_s is not None:
@@ -149,13 +150,21 @@
     def _raise_view_sequence(self, heartbeat: Heartbeat) -> None:
         self._rules_view.view_sequence = max(self._rules_view.view_sequence, heartbeat.sequence)
 
-    def _list_reports(self) -> list[PeerReport]:
+    def _list_reports(self, own: OwnView) -> list[PeerReport]:
         members = self._hub.list_members()
-        return [
-            PeerReport(state.identity.name, state.asked_s, _make_mark(state.heartbeat))
+        reports = [
+            PeerReport(
+                state.identity.name,
+                state.asked_s - state.heartbeat.attempt_age_s,
+                _make_mark(state.heartbeat),
+            )
             for state in self._hub.list_states()
             if state.heartbeat is not None and state.identity.name in members
         ]
+        if self._rules_view.is_cold():
+            return reports
+        attempted_s = self._clock.read_monotonic_s() - self._rules_view.read_attempt_age_s()
+        return [*reports, PeerReport(OWN_NAME, attempted_s, own.mark)]
 
     def _make_own_view(self) -> OwnView:
         rules_view = self._rules_view
--- a/comfreywind/entry/rules_view.py
+++ b/comfreywind/entry/rules_view.py
@@ -21,6 +21,7 @@
         self._clock = clock
         self._fresh_s = fresh_s
         self._store_confirmed_s: float | None = None
+        self._attempted_s: float | None = None
         self._confirmed_s: float | None = None
         self.rules: Rules | None = None
         self.offer: BundleOffer | None = None
@@ -63,9 +64,15 @@
         """Note that the view was complete at this monotonic time, as read from the store."""
         if self._store_confirmed_s is None or at_s > self._store_confirmed_s:
             self._store_confirmed_s = at_s
+        self.note_attempt(at_s)
         self.view_sequence = max(self.view_sequence, self.sequence)
         self.confirm_by_peers(at_s)
 
+    def note_attempt(self, at_s: float) -> None:
+        """Note that an attempt to read the store had failed by this monotonic time."""
+        if self._attempted_s is None or at_s > self._attempted_s:
+            self._attempted_s = at_s
+
     def confirm_by_peers(self, at_s: float) -> None:
         """Note that the view was complete at this monotonic time, as confirmed by peers."""
         if self._confirmed_s is None or at_s > self._confirmed_s:
@@ -79,6 +86,10 @@
         """Return the age of the last read of the store, infinity before the first."""
         return self._read_age_s(self._store_confirmed_s)
 
+    def read_attempt_age_s(self) -> float:
+        """Return the age of the last finished attempt to read the store, failed or not."""
+        return self._read_age_s(self._attempted_s)
+
     def read_age_s(self) -> float:
         """Return the age of the view in seconds, infinity before the first confirmation."""
         return self._read_age_s(self._confirmed_s)
--- a/comfreywind/peers/stream_hub.py
+++ b/comfreywind/peers/stream_hub.py
@@ -236,7 +236,9 @@
         echo_s = heartbeat.echo_s
         if echo_s is None or heartbeat.echo_incarnation != self.identity.incarnation:
             return
-        state.asked_s = max(state.asked_s, min(echo_s, now_s))
+        if echo_s > now_s:
+            raise PeerError(f'{sender.name} echoes a time that is yet to come')
+        state.asked_s = max(state.asked_s, echo_s)
         link = self._links.get(state.address)
         if link is not None:
             link.confirm(echo_s)
--- a/comfreywind/settings/timings.py
+++ b/comfreywind/settings/timings.py
@@ -1,6 +1,6 @@
 """Time limits and periods of an entry process, in seconds."""
 
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from comfreywind.settings.base import SettingsModel
 
@@ -25,3 +25,14 @@
     default_deadline_s: float = Field(default=30, gt=0)
     suspect_s: float = Field(default=10, gt=0)
     claim_retention_s: float = Field(default=86400, gt=0)
+
+    @model_validator(mode='after')
+    def check_fresh(self) -> 'Timings':
+        """Refuse timings with which a slow store makes every view stale between two attempts."""
+        attempt_s = self.platform_timeout_s + self.feed_interval_s
+        if self.fresh_s <= attempt_s + 2 * self.heartbeat_interval_s:
+            raise ValueError(
+                'fresh_s must be above platform_timeout_s + feed_interval_s'
+                ' + 2 * heartbeat_interval_s'
+            )
+        return self
--- a/tests/peers/test_stream_hub.py
+++ b/tests/peers/test_stream_hub.py
@@ -10,10 +10,13 @@
 from bench.ports import PORTS
 from comfreywind.clock import SystemClock
 from comfreywind.errors import ListenError
+from comfreywind.peers.message_codec import MessageCodec
+from comfreywind.peers.messages.heartbeat import Heartbeat
+from comfreywind.peers.messages.hello import Hello
 from comfreywind.peers.outbox import OUTBOX_LIMIT_BYTES, Outbox
 from comfreywind.peers.peer_identity import PeerIdentity
 from comfreywind.peers.peer_message import PeerMessage
-from comfreywind.peers.stream_hub import StreamHub
+from comfreywind.peers.stream_hub import PROTOCOL_VERSION, StreamHub
 from comfreywind.peers.stream_limits import StreamLimits
 from comfreywind.settings.address import Address
 
@@ -118,3 +121,32 @@
     with socket.create_server((address.host, address.port)):
         with pytest.raises(ListenError, match='in use'):
             await make_hub('left', address).run()
+
+
+async def test_report_counts_from_its_echo(nursery: trio.Nursery) -> None:
+    """Guards against a report that looks new because it waited in a buffer until now."""
+    address = make_address()
+    hub = make_hub('left', address)
+    await nursery.start(hub.run)
+    codec = MessageCodec()
+    peer_address = make_address()
+    listener = socket.create_server((peer_address.host, peer_address.port))
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    async with stream:
+        await stream.send_all(codec.encode(Hello('peer', 1, PROTOCOL_VERSION, str(peer_address))))
+        now_s = SystemClock().read_monotonic_s()
+        echoes = ((now_s - 3, 1), (now_s - 2, 9), (None, 1), (now_s + 60, 1))
+        seen = []
+        for sent_s, (echo_s, incarnation) in enumerate(echoes, start=1):
+            heartbeat = Heartbeat(float(sent_s), echo_s, incarnation, bundle_version=sent_s)
+            await stream.send_all(codec.encode(heartbeat))
+            await wait_for(lambda count=sent_s: read_version(hub) == count)
+            seen.append(hub.list_states()[0].asked_s)
+    listener.close()
+    assert seen == [now_s - 3] * len(echoes)
+
+
+def read_version(hub: StreamHub) -> int:
+    """Return the bundle version that the only peer has reported."""
+    states = hub.list_states()
+    return states[0].heartbeat.bundle_version if states and states[0].heartbeat else 0
