--- a/bench/relay.py
+++ b/bench/relay.py
@@ -13,6 +13,7 @@
     def __init__(self, address: str, target_address: str) -> None:
         """Listen at the address."""
         self.address = address
+        self.passed_bytes = 0
         self._target_address = _split(target_address)
         self._lock = threading.Lock()
         self._sockets: set[socket.socket] = set()
@@ -57,6 +58,8 @@
             chunk = source.recv(CHUNK_BYTES)
             while chunk:
                 sink.sendall(chunk)
+                with self._lock:
+                    self.passed_bytes += len(chunk)
                 chunk = source.recv(CHUNK_BYTES)
         with self._lock:
             self._sockets -= {source, sink}
--- a/comfreywind/entry/member_status.py
+++ b/comfreywind/entry/member_status.py
@@ -22,6 +22,10 @@
             for name, address in sorted(members.items())
         ]
 
+    def count_sent_bytes(self) -> int:
+        """Return the bytes sent to the peers, without those of TCP and IP."""
+        return self._hub.count_sent_bytes()
+
     def _describe(self, state: PeerState | None) -> dict[str, object]:
         if state is None or state.heartbeat is None:
             return {'alive': False, 'bundle_version': None, 'fresh': None, 'heard_s_ago': None}
--- a/comfreywind/entry/operator_app.py
+++ b/comfreywind/entry/operator_app.py
@@ -91,6 +91,7 @@
             'keys_count': len(self._rules_view.keys),
             'fresh': self._rules_view.is_fresh(),
             'members': self._member_status.list_members(),
+            'peer_sent_bytes': self._member_status.count_sent_bytes(),
         }
         await send_json(call.send, 200, status)
 
--- a/comfreywind/peers/peer_hub.py
+++ b/comfreywind/peers/peer_hub.py
@@ -45,3 +45,6 @@
 
     def send_heartbeats(self) -> None:
         """Report to all peers now, because something that they wait for has changed."""
+
+    def count_sent_bytes(self) -> int:
+        """Return the bytes sent to the peers, without those of TCP and IP."""
--- a/comfreywind/peers/peer_link.py
+++ b/comfreywind/peers/peer_link.py
@@ -32,6 +32,7 @@
         self.address = address
         self._clock = clock
         self.opened_s = float('inf')
+        self.sent_bytes = 0
         self._hello_frame = hello_frame
         self._limits = limits
         self._outbox = Outbox()
@@ -113,7 +114,9 @@
 
     async def _send_frames(self, stream: trio.SocketStream) -> None:
         while True:
-            await stream.send_all(await self._outbox.take_all())
+            frames = await self._outbox.take_all()
+            await stream.send_all(frames)
+            self.sent_bytes += len(frames)
 
     async def _wait(self, backoff_s: float) -> None:
         self._wake = trio.Event()
--- a/comfreywind/peers/stream_hub.py
+++ b/comfreywind/peers/stream_hub.py
@@ -121,6 +121,10 @@
         for address in self._members.values():
             self._add_link(address)
 
+    def count_sent_bytes(self) -> int:
+        """Return the bytes sent on the links that exist, without those of TCP and IP."""
+        return sum(link.sent_bytes for link in self._links.values())
+
     def set_heartbeat_source(self, make_heartbeat: Callable[[], Heartbeat]) -> None:
         """Use the function for the report in heartbeats; the hub fills times and echoes."""
         self._make_heartbeat = make_heartbeat
