--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -118,10 +118,35 @@
         log: dict[str, dict[str, int]] = json.loads(reply.content)
         return log
 
+    def read_table(self, table: str) -> dict[str, Any]:
+        """Return all rows of a table by key, also while the platform's services are down."""
+        rows: dict[str, Any] = self._read_platform(f'/stand-in/tables/{table}')['rows']
+        return rows
+
+    def read_true_vms(self) -> list[dict[str, Any]]:
+        """Return the VM list as it truly is now."""
+        vms: list[dict[str, Any]] = self._read_platform('/stand-in/vms')['vms']
+        return vms
+
+    def read_reboots(self) -> list[dict[str, Any]]:
+        """Return the reboots so far and how many tasks each interrupted."""
+        reboots: list[dict[str, Any]] = self._read_platform('/stand-in/reboots')['reboots']
+        return reboots
+
+    def find_holder(self, pool: str) -> int | None:
+        """Return the index of the entry that holds the control lease of the pool."""
+        holder = self.read_table('control').get(pool, {}).get('holder')
+        names = [entry.name for entry in self.entries]
+        return names.index(holder) if holder in names else None
+
     def set_vms(self, vms: list[dict[str, Any]]) -> None:
         """Replace the platform's true VM list."""
         put_json(self.platform_address, '/stand-in/vms', {'vms': [_to_document(vm) for vm in vms]})
 
+    def _read_platform(self, path: str) -> Any:
+        reply = httpcore.request('GET', f'http://{self.platform_address}{path}')
+        return json.loads(reply.content)
+
     def _plan_vms(self) -> list[dict[str, Any]]:
         vms = []
         for pool, count in self.plan.executors_by_pool.items():
@@ -149,16 +174,20 @@
         return FleetProcess(self.folder, 'platform', ['stand-in', 'platform'], settings)
 
     def _make_targets(self) -> list[FleetProcess]:
-        processes = []
-        for process_index in range(self.plan.target_processes):
-            executors = [
-                {'name': vm['name'], 'address': vm['address'], 'slots': self.plan.slots}
-                for vm in self.vms[process_index :: self.plan.target_processes]
-            ]
-            name = f'target-{process_index}'
-            settings = {'executors': executors}
-            processes.append(FleetProcess(self.folder, name, ['stand-in', 'target'], settings))
-        return processes
+        groups = [
+            (f'target-{index}', self.vms[index :: self.plan.target_processes])
+            for index in range(self.plan.target_processes)
+        ]
+        if self.plan.target_process_by_rack:
+            racks = sorted({vm['rack'] for vm in self.vms})
+            groups = [(rack, [vm for vm in self.vms if vm['rack'] == rack]) for rack in racks]
+        return [self._make_target(name, vms) for name, vms in groups]
+
+    def _make_target(self, name: str, vms: list[dict[str, Any]]) -> FleetProcess:
+        executors = [
+            {'name': vm['name'], 'address': vm['address'], 'slots': self.plan.slots} for vm in vms
+        ]
+        return FleetProcess(self.folder, name, ['stand-in', 'target'], {'executors': executors})
 
     def _make_entry(self, index: int) -> FleetProcess:
         own_address = self.peer_addresses[index]
--- a/bench/fleet_plan.py
+++ b/bench/fleet_plan.py
@@ -34,3 +34,4 @@
     vm_list_lag_s: float = 0.5
     reboot_s: float = 0.5
     target_processes: int = 1
+    target_process_by_rack: bool = False
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control work."""
