--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that compare policies."""
--- a/comfreywind/control/control_task.py
+++ b/comfreywind/control/control_task.py
@@ -1,15 +1,16 @@
 """The control work of an entry over all pools."""
 
 import logging
+from collections import defaultdict
 
 import trio
 
 from comfreywind.control.control_parts import ControlParts, VmList
 from comfreywind.control.pool_controller import PoolController
 from comfreywind.control.prober import probe_vms
-from comfreywind.control.snapshot_maker import list_pool_vms
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.platform.vm_entry import VmEntry
 
 log = logging.getLogger('comfreywind.control')
 RELEASE_TIMEOUT_S = 2
@@ -39,12 +40,15 @@
         if rules is None or self._released:
             return
         listed = {vm.name: vm for vm in self._fleet_view.list_vms()}
+        listed_by_pool: dict[str, list[VmEntry]] = defaultdict(list)
+        for vm in listed.values():
+            listed_by_pool[vm.pool].append(vm)
         self._adjust_controllers(set(rules.pools))
         if listed:
             await self._observe_vms(listed)
         async with trio.open_nursery() as nursery:
-            for controller in self._controllers.values():
-                nursery.start_soon(controller.tick, rules, listed)
+            for pool, controller in self._controllers.items():
+                nursery.start_soon(controller.tick, rules, listed_by_pool[pool])
 
     async def release(self) -> None:
         """Give up all leases within a bounded time and take none any more."""
@@ -62,8 +66,9 @@
 
     async def _observe_vms(self, listed: VmList) -> None:
         held_pools = {pool for pool, held in self._controllers.items() if held.is_held()}
-        rows = {vm.name: vm for vm in list_pool_vms(self._parts.view) if vm.pool in held_pools}
-        probed = [vm for name, vm in listed.items() if name in rows]
+        view = self._parts.view
+        rows = {vm.name: vm for pool in held_pools for vm in view.list_pool(pool)}
+        probed = [listed[name] for name in rows if name in listed]
         accepting = await probe_vms(probed, self._parts.timings.probe_timeout_s)
         incarnations = {name: vm.incarnation for name, vm in rows.items()}
         self._parts.health.observe(incarnations, listed, accepting)
--- a/comfreywind/control/control_view.py
+++ b/comfreywind/control/control_view.py
@@ -1,10 +1,13 @@
 """The rows that control work is decided from, as the change feed delivers them."""
 
+from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
 from comfreywind.clock import Clock
+from comfreywind.control.vm_row import parse_vm_row
+from comfreywind.decisions.pools.pool_vm import PoolVm
 from comfreywind.platform.changes import Changes
 from comfreywind.platform.row import Row
 from comfreywind.platform.table_names import (
@@ -29,13 +32,16 @@
 class ControlView:
     """All rows of the control tables at one sequence of the feed.
 
-    Since one read of the feed covers all tables, the rows together are a consistent snapshot.
+    Since one read of the feed covers all tables, the rows together are a consistent snapshot. VMs
+    are parsed once for each change and kept by pool, because a pool is decided on every second.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Start empty, at sequence 0."""
         self._clock = clock
         self._rows: dict[tuple[str, str], SeenRow] = {}
+        self._vms: dict[str, PoolVm] = {}
+        self._pools: dict[str, dict[str, PoolVm]] = defaultdict(dict)
         self.sequence = 0
 
     def apply_changes(self, changes: Changes) -> None:
@@ -44,6 +50,8 @@
         for row in changes.rows:
             if row.table in CONTROL_TABLES:
                 self._rows[row.table, row.key] = SeenRow(row, changes.sequence, now_s)
+            if row.table == TABLE_VMS:
+                self._apply_vm(row)
         self.sequence = changes.sequence
 
     def find(self, table: str, key: str) -> SeenRow | None:
@@ -67,3 +75,26 @@
         for (row_table, _), seen in self._rows.items():
             if row_table == table and seen.row.value is not None:
                 yield seen
+
+    def list_pool(self, pool: str) -> tuple[PoolVm, ...]:
+        """Return the VMs of the pool."""
+        return tuple(self._pools[pool].values()) if pool in self._pools else ()
+
+    def list_lent(self, pool: str) -> list[PoolVm]:
+        """Return the VMs of a spare pool that are in other pools."""
+        return [
+            vm
+            for other, vms in self._pools.items()
+            if other != pool
+            for vm in vms.values()
+            if vm.home_pool == pool
+        ]
+
+    def _apply_vm(self, row: Row) -> None:
+        known = self._vms.pop(row.key, None)
+        if known is not None:
+            self._pools[known.pool].pop(row.key)
+        if row.value is not None:
+            vm = parse_vm_row(row)
+            self._vms[row.key] = vm
+            self._pools[vm.pool][row.key] = vm
--- a/comfreywind/control/health_watch.py
+++ b/comfreywind/control/health_watch.py
@@ -51,10 +51,11 @@
     def read(self, names: Collection[str]) -> dict[str, VmHealth]:
         """Return the health of the VMs that have been observed."""
         now_s = self._clock.read_monotonic_s()
+        observed = [(name, self._observations.get(name)) for name in names]
         return {
             name: VmHealth(seen.works, now_s - seen.since_s, seen.listed, seen.incarnation)
-            for name, seen in self._observations.items()
-            if name in names
+            for name, seen in observed
+            if seen is not None
         }
 
 
--- a/comfreywind/control/pool_controller.py
+++ b/comfreywind/control/pool_controller.py
@@ -1,10 +1,10 @@
 """The control work of one pool."""
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from comfreywind.bundle.rules import Rules
-from comfreywind.control.control_parts import ControlParts, VmList
+from comfreywind.control.control_parts import ControlParts
 from comfreywind.control.lease_watch import LeaseWatch
 from comfreywind.control.pool_row import make_pool_fields
 from comfreywind.control.rebooter import Rebooter
@@ -16,6 +16,7 @@
 from comfreywind.errors import PlatformError, RowConflictError
 from comfreywind.platform.row_write import MISSING_VERSION, RowWrite
 from comfreywind.platform.table_names import TABLE_BUDGETS, TABLE_CONTROL, TABLE_VMS
+from comfreywind.platform.vm_entry import VmEntry
 
 log = logging.getLogger('comfreywind.control')
 
@@ -41,8 +42,11 @@
         """Return whether this entry holds the lease, as far as it knows."""
         return self._lease.is_held()
 
-    async def tick(self, rules: Rules, listed: VmList) -> None:
-        """Do what is due; failures of the platform leave it for a later tick."""
+    async def tick(self, rules: Rules, listed: Collection[VmEntry]) -> None:
+        """Do what is due, with the VMs that the list shows in this pool.
+
+        Failures of the platform leave work for a later tick.
+        """
         if self._parts.view.read_version(TABLE_CONTROL, self._pool) < self._awaited_version:
             return
         step = self._lease.decide(self._parts.members.list_alive(), self._parts.timings)
@@ -62,7 +66,7 @@
             cause = f'{self._parts.name}: {step.value} the control lease'
             self._parts.decisions.record('control', f'pool/{self._pool}', cause)
 
-    async def _work(self, rules: Rules, listed: VmList) -> None:
+    async def _work(self, rules: Rules, listed: Collection[VmEntry]) -> None:
         snapshot = self._make_snapshot(rules)
         plan = plan_pool(snapshot, read_asked(self._parts.view, self._pool))
         writes = [
@@ -79,25 +83,24 @@
         parts = self._parts
         pool = rules.pools[self._pool]
         now_s = parts.read_wall_s()
-        rows = make_snapshot(pool, rules, parts.view, {}, frozenset(), now_s, parts.timings)
-        names = [vm.name for vm in rows.vms]
+        vms = parts.view.list_pool(self._pool)
         graceful_s = max(other.max_run_s for other in rules.pools.values())
         graceful_s += parts.timings.run_margin_s
         return make_snapshot(
             pool,
             rules,
             parts.view,
-            parts.health.read(names),
-            parts.drains.find_drained(rows.vms, graceful_s),
+            parts.health.read([vm.name for vm in vms]),
+            parts.drains.find_drained(vms, graceful_s),
             now_s,
             parts.timings,
         )
 
-    def _make_first_rows(self, listed: VmList) -> Iterator[RowWrite]:
+    def _make_first_rows(self, listed: Collection[VmEntry]) -> Iterator[RowWrite]:
         view = self._parts.view
         now_s = self._parts.read_wall_s()
-        for vm in listed.values():
-            if vm.pool == self._pool and not view.read_version(TABLE_VMS, vm.name):
+        for vm in listed:
+            if not view.read_version(TABLE_VMS, vm.name):
                 fields = make_vm_fields(make_first_vm(vm, now_s))
                 yield RowWrite(TABLE_VMS, vm.name, MISSING_VERSION, fields)
 
--- a/comfreywind/control/snapshot_maker.py
+++ b/comfreywind/control/snapshot_maker.py
@@ -1,24 +1,18 @@
 """Makes the snapshots that decisions about pools are made from."""
 
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 
 from comfreywind.bundle.rules import PoolRules, Rules
 from comfreywind.control.control_view import ControlView
-from comfreywind.control.vm_row import parse_vm_row
 from comfreywind.decisions.pools.pool_policy import PoolPolicy
 from comfreywind.decisions.pools.pool_snapshot import PoolSnapshot, SpareRequest
 from comfreywind.decisions.pools.pool_vm import PoolVm, VmState
 from comfreywind.decisions.pools.vm_health import VmHealth
-from comfreywind.platform.table_names import TABLE_BUDGETS, TABLE_VMS
+from comfreywind.platform.table_names import TABLE_BUDGETS
 from comfreywind.settings.timings import Timings
 
 
-def list_pool_vms(view: ControlView) -> list[PoolVm]:
-    """Return all VMs that have a row."""
-    return [parse_vm_row(seen.row) for seen in view.list_rows(TABLE_VMS)]
-
-
 def make_policy(pool: PoolRules, timings: Timings) -> PoolPolicy:
     """Return the policy of the pool."""
     return PoolPolicy(
@@ -46,16 +40,15 @@
     timings: Timings,
 ) -> PoolSnapshot:
     """Return the snapshot of the pool."""
-    vms = list_pool_vms(view)
     return PoolSnapshot(
         name=pool.name,
         now_s=now_s,
         policy=make_policy(pool, timings),
-        vms=tuple(vm for vm in vms if vm.pool == pool.name),
+        vms=view.list_pool(pool.name),
         health=health,
         drained=drained,
-        free_spares=_count_free_spares(pool, rules, vms),
-        requests=_list_requests(pool, vms, view) if pool.spare else (),
+        free_spares=_count_free_spares(pool, rules, view),
+        requests=_list_requests(pool, view) if pool.spare else (),
     )
 
 
@@ -65,23 +58,23 @@
     return {name: int(count) for name, count in wanted.items()}
 
 
-def _count_free_spares(pool: PoolRules, rules: Rules, vms: Collection[PoolVm]) -> Counter[str]:
-    spare_pools = {name for name, other in rules.pools.items() if other.spare}
+def _count_free_spares(pool: PoolRules, rules: Rules, view: ControlView) -> Counter[str]:
     return Counter(
         vm.pool
-        for vm in vms
-        if vm.pool in spare_pools and (vm.state == VmState.ACTIVE or vm.move_to == pool.name)
+        for name, other in rules.pools.items()
+        if other.spare
+        for vm in view.list_pool(name)
+        if vm.state == VmState.ACTIVE or vm.move_to == pool.name
     )
 
 
-def _list_requests(
-    pool: PoolRules, vms: Collection[PoolVm], view: ControlView
-) -> tuple[SpareRequest, ...]:
+def _list_requests(pool: PoolRules, view: ControlView) -> tuple[SpareRequest, ...]:
     requests = []
+    vms = [*view.list_pool(pool.name), *view.list_lent(pool.name)]
     for seen in view.list_rows(TABLE_BUDGETS):
         asking = seen.row.key
         wanted = read_asked(view, asking).get(pool.name, 0)
-        given = sum(_is_given(vm, asking) for vm in vms if vm.home_pool == pool.name)
+        given = sum(_is_given(vm, asking) for vm in vms)
         if wanted > given and asking != pool.name:
             requests.append(SpareRequest(asking, wanted, given))
     return tuple(requests)
--- a/comfreywind/entry/fleet_view.py
+++ b/comfreywind/entry/fleet_view.py
@@ -23,13 +23,16 @@
         self._requires_row = requires_row
         self._listed: dict[str, VmEntry] = {}
         self._rows: dict[str, Row] = {}
+        self._usable: dict[str, list[VmEntry]] = {}
 
     def apply_vm_list(self, vms: Iterable[VmEntry]) -> None:
         """Take a newer list from the platform."""
         self._listed = {vm.name: vm for vm in vms}
+        self._usable.clear()
 
     def apply_vm_row(self, row: Row) -> None:
         """Take a newer row of the table `vms`."""
+        self._usable.clear()
         if row.value is None:
             self._rows.pop(row.key, None)
             return
@@ -56,6 +59,11 @@
         the control lease are more likely wrong than most of the pool (as the panic threshold of
         outlier ejection).
         """
+        if pool not in self._usable:
+            self._usable[pool] = self._find_usable(pool)
+        return self._usable[pool]
+
+    def _find_usable(self, pool: str) -> list[VmEntry]:
         live = [vm for vm in self._list_live() if self.find_pool(vm) == pool]
         active = [vm for vm in live if self._read_state(vm) == STATE_ACTIVE]
         suspect = [vm for vm in live if self._read_state(vm) == STATE_SUSPECT]
