--- a/bench/experiments/__init__.py
+++ b/bench/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments that compare policies."""
+"""Experiments that compare policies and versions."""
--- /dev/null
+++ b/comfreywind/decisions/team_load.py
@@ -0,0 +1,23 @@
+"""Load of one team in one pool at one entry."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class TeamLoad:
+    """Numbers of requests; the urgent ones are counted in `running` and `waiting` too.
+
+    `ready` counts the waiting requests that lack nothing but a slot, `urgent_ready` the urgent ones
+    among them that are within the team's entitlement.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    ready: int = 0
+    urgent_running: int = 0
+    urgent_ready: int = 0
+
+    @property
+    def demand(self) -> int:
+        """Return what the team could use now."""
+        return self.running + self.waiting
--- a/comfreywind/entry/caller_app.py
+++ b/comfreywind/entry/caller_app.py
@@ -15,9 +15,10 @@
 from comfreywind.entry.header_rules import find_header, select_request_headers
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.scope_keys import SCOPE_QUEUE, SCOPE_TEAM
 from comfreywind.http.asgi_body import BodyIncompleteError, BodyTooLargeError, read_body
 from comfreywind.http.asgi_reply import send_json, send_reply
-from comfreywind.http.asgi_types import HeaderList, Receive, Scope, Send
+from comfreywind.http.asgi_types import HeaderList, Message, Receive, Scope, Send
 
 QUEUE_PATH = re.compile('^/queues/([^/]+)(/.*)?$')
 REQUEST_ID = re.compile('^[A-Za-z0-9._:-]{1,128}$')
@@ -43,12 +44,30 @@
         self._clock = clock
         self._body_limit_bytes = body_limit_bytes
         self._default_deadline_s = default_deadline_s
+        self.leaving = False
         self.stopping = False
+        self.active_count = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one request."""
+        """Serve one request; once the entry is leaving, the response closes the connection."""
+        self.active_count += 1
+        try:
+            await self._answer(scope, receive, self._close_when_leaving(send))
+        finally:
+            self.active_count -= 1
+
+    def _close_when_leaving(self, send: Send) -> Send:
+        async def send_message(message: Message) -> None:
+            if self.leaving and message['type'] == 'http.response.start':
+                headers = [*message['headers'], (b'connection', b'close')]
+                message = {**message, 'headers': headers}
+            await send(message)
+
+        return send_message
+
+    async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope['path'] == '/health/ready':
-            ready = self._find_unready_reason() is None
+            ready = self._find_unready_reason() is None and not self.leaving
             await send_json(send, 200 if ready else 503, {'ready': ready})
             return
         request_id = find_header(scope['headers'], b'x-request-id') or uuid.uuid4().hex
@@ -73,6 +92,8 @@
                 Refusal(RefusalReason.QUEUE_UNKNOWN, 'paths start with /queues/{queue}/')
             )
         admission = self._admit(scope['headers'], path.group(1), rules)
+        scope[SCOPE_QUEUE] = admission.queue.name
+        scope[SCOPE_TEAM] = admission.team
         request = await self._read_request(scope, receive, request_id, admission)
         pool = rules.pools[admission.queue.pool]
         await self._forwarder.forward(request, admission.queue, pool.max_run_s, send)
@@ -141,6 +162,7 @@
     headers: HeaderList = [
         (b'x-request-id', request_id.encode('latin-1', 'replace')),
         (b'comfreywind-outcome', refusal.outcome.value.encode()),
+        (b'comfreywind-reason', refusal.reason.problem.encode()),
     ]
     if refusal.retry_after_s is not None:
         headers.append((b'retry-after', str(math.ceil(refusal.retry_after_s)).encode()))
--- a/comfreywind/entry/fleet_view.py
+++ b/comfreywind/entry/fleet_view.py
@@ -1,7 +1,8 @@
 """The VMs that this entry knows of and the pool each one belongs to."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from comfreywind.decisions.set_digest import exchange_row
 from comfreywind.platform.row import Row
 from comfreywind.platform.vm_entry import VmEntry
 
@@ -23,20 +24,34 @@
         self._requires_row = requires_row
         self._listed: dict[str, VmEntry] = {}
         self._rows: dict[str, Row] = {}
-        self._usable: dict[str, list[VmEntry]] = {}
+        self.rows_digest = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, receive_change: Callable[[], None]) -> None:
+        """Call the function after each change of the list or of a row."""
+        self._listeners.append(receive_change)
 
     def apply_vm_list(self, vms: Iterable[VmEntry]) -> None:
         """Take a newer list from the platform."""
-        self._listed = {vm.name: vm for vm in vms}
-        self._usable.clear()
-
-    def apply_vm_row(self, row: Row) -> None:
-        """Take a newer row of the table `vms`."""
-        self._usable.clear()
-        if row.value is None:
-            self._rows.pop(row.key, None)
-            return
-        self._rows[row.key] = row
+        listed = {vm.name: vm for vm in vms}
+        if listed != self._listed:
+            self._listed = listed
+            self._tell_listeners()
+
+    def apply_vm_rows(self, rows: Iterable[Row]) -> None:
+        """Take newer rows of the table `vms`; an older version never replaces a newer one.
+
+        A deleted row is kept with its version, so that an older state of it is not taken again. The
+        listeners are called once for all rows, because each call costs time in proportion to the
+        number of VMs.
+        """
+        changes = [self._apply_row(row) for row in rows]
+        if any(changes):
+            self._tell_listeners()
+
+    def list_rows(self) -> list[Row]:
+        """Return all rows of the table `vms`, those of deleted rows with the value None."""
+        return list(self._rows.values())
 
     def list_vms(self) -> list[VmEntry]:
         """Return all VMs on the platform's list."""
@@ -44,11 +59,12 @@
 
     def read_row(self, name: str) -> Row | None:
         """Return the VM's row in the table `vms`, if it has one."""
-        return self._rows.get(name)
+        row = self._rows.get(name)
+        return None if row is None or row.value is None else row
 
     def find_pool(self, vm: VmEntry) -> str:
         """Return the pool that the VM belongs to."""
-        row = self._rows.get(vm.name)
+        row = self.read_row(vm.name)
         return vm.pool if row is None or row.value is None else str(row.value['pool'])
 
     def list_usable(self, pool: str) -> list[VmEntry]:
@@ -59,21 +75,41 @@
         the control lease are more likely wrong than most of the pool (as the panic threshold of
         outlier ejection).
         """
-        if pool not in self._usable:
-            self._usable[pool] = self._find_usable(pool)
-        return self._usable[pool]
+        return _select_usable(
+            [(vm, self._read_state(vm)) for vm in self._list_live() if self.find_pool(vm) == pool]
+        )
+
+    def group_usable(self) -> dict[str, list[VmEntry]]:
+        """Return the VMs that take new work by pool, chosen as `list_usable` does."""
+        groups: dict[str, list[tuple[VmEntry, str]]] = {}
+        for vm in self._list_live():
+            groups.setdefault(self.find_pool(vm), []).append((vm, self._read_state(vm)))
+        return {pool: _select_usable(vms) for pool, vms in groups.items()}
+
+    def _apply_row(self, row: Row) -> bool:
+        known = self._rows.get(row.key)
+        known_version = known.version if known else 0
+        if row.version <= known_version:
+            return False
+        self._rows[row.key] = row
+        self.rows_digest = exchange_row(self.rows_digest, row.key, known_version, row.version)
+        return True
 
-    def _find_usable(self, pool: str) -> list[VmEntry]:
-        live = [vm for vm in self._list_live() if self.find_pool(vm) == pool]
-        active = [vm for vm in live if self._read_state(vm) == STATE_ACTIVE]
-        suspect = [vm for vm in live if self._read_state(vm) == STATE_SUSPECT]
-        return active + suspect if len(suspect) > len(active) else active
+    def _tell_listeners(self) -> None:
+        for receive_change in self._listeners:
+            receive_change()
 
     def _list_live(self) -> list[VmEntry]:
         return [vm for vm in self._listed.values() if vm.state == 'live']
 
     def _read_state(self, vm: VmEntry) -> str:
-        row = self._rows.get(vm.name)
+        row = self.read_row(vm.name)
         if row is not None and row.value is not None:
             return str(row.value['state'])
         return STATE_UNKNOWN if self._requires_row else STATE_ACTIVE
+
+
+def _select_usable(vms: list[tuple[VmEntry, str]]) -> list[VmEntry]:
+    active = [vm for vm, state in vms if state == STATE_ACTIVE]
+    suspect = [vm for vm, state in vms if state == STATE_SUSPECT]
+    return active + suspect if len(suspect) > len(active) else active
--- a/tests/control/test_racing_controllers.py
+++ b/tests/control/test_racing_controllers.py
@@ -68,7 +68,7 @@
             clock=clock,
             timings=TIMINGS,
         )
-        self.controllers = [PoolController(pool, self.parts) for pool in POOLS]
+        self.controllers = {pool: PoolController(pool, self.parts) for pool in POOLS}
 
     def read_feed(self) -> None:
         """Bring the view up to date."""
@@ -83,8 +83,9 @@
 
     async def work(self, rules: Rules) -> None:
         """Do one step for each pool."""
-        for controller in self.controllers:
-            await controller.tick(rules, self._platform.vms)
+        for pool, controller in self.controllers.items():
+            listed = [vm for vm in self._platform.vms.values() if vm.pool == pool]
+            await controller.tick(rules, listed)
 
 
 def make_rules() -> Rules:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bench.fleet import Fleet, wait_until
-from bench.load import Load
+from bench.caller_load import CallerLoad
 from bench.wave_watch import WaveWatch
 from tests.helpers.maintenance import POOL, make_plan, was_maintained
 
@@ -15,12 +15,12 @@
 LEAVING_LIMIT_S = 2
 
 
-def make_load(fleet: Fleet, spared_entry: int | None = None) -> Load:
+def make_load(fleet: Fleet, spared_entry: int | None = None) -> CallerLoad:
     """Return load on all entries but one."""
     addresses = [
         address for index, address in enumerate(fleet.caller_addresses) if index != spared_entry
     ]
-    return Load(addresses, WORK_PATH, fleet.keys['timetables'])
+    return CallerLoad(addresses, WORK_PATH, fleet.keys['timetables'])
 
 
 def wait_for_stop(fleet: Fleet) -> None:
@@ -31,7 +31,7 @@
     )
 
 
-def check_undisturbed(fleet: Fleet, load: Load) -> None:
+def check_undisturbed(fleet: Fleet, load: CallerLoad) -> None:
     """Check that requests were answered and that no reboot cut one off."""
     assert load.outcomes['answered'] > 20
     assert not load.outcomes['unknown'], load.outcomes
