--- a/comfreywind/control/control_task.py
+++ b/comfreywind/control/control_task.py
@@ -26,6 +26,10 @@
         self._fleet_view = fleet_view
         self._controllers: dict[str, PoolController] = {}
         self._released = False
+        self._list_changed = True
+        self._listed: dict[str, VmEntry] = {}
+        self._listed_by_pool: dict[str, list[VmEntry]] = {}
+        fleet_view.subscribe(self._note_list_change)
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -39,16 +43,14 @@
         rules = self._rules_view.rules
         if rules is None or self._released:
             return
-        listed = {vm.name: vm for vm in self._fleet_view.list_vms()}
-        listed_by_pool: dict[str, list[VmEntry]] = defaultdict(list)
-        for vm in listed.values():
-            listed_by_pool[vm.pool].append(vm)
+        if self._list_changed:
+            self._group_listed()
         self._adjust_controllers(set(rules.pools))
-        if listed:
-            await self._observe_vms(listed)
+        if self._listed:
+            await self._observe_vms(self._listed)
         async with trio.open_nursery() as nursery:
             for pool, controller in self._controllers.items():
-                nursery.start_soon(controller.tick, rules, listed_by_pool[pool])
+                nursery.start_soon(controller.tick, rules, self._listed_by_pool.get(pool, ()))
 
     async def release(self) -> None:
         """Give up all leases within a bounded time and take none any more."""
@@ -58,6 +60,17 @@
                 for controller in self._controllers.values():
                     nursery.start_soon(controller.release)
 
+    def _note_list_change(self) -> None:
+        self._list_changed = True
+
+    def _group_listed(self) -> None:
+        self._list_changed = False
+        self._listed = {vm.name: vm for vm in self._fleet_view.list_vms()}
+        groups: dict[str, list[VmEntry]] = defaultdict(list)
+        for vm in self._listed.values():
+            groups[vm.pool].append(vm)
+        self._listed_by_pool = groups
+
     def _adjust_controllers(self, pools: set[str]) -> None:
         for pool in pools - set(self._controllers):
             self._controllers[pool] = PoolController(pool, self._parts)
--- a/comfreywind/control/control_view.py
+++ b/comfreywind/control/control_view.py
@@ -39,9 +39,10 @@
     def __init__(self, clock: Clock) -> None:
         """Start empty, at sequence 0."""
         self._clock = clock
-        self._rows: dict[tuple[str, str], SeenRow] = {}
+        self._rows: dict[str, dict[str, SeenRow]] = {table: {} for table in CONTROL_TABLES}
         self._vms: dict[str, PoolVm] = {}
         self._pools: dict[str, dict[str, PoolVm]] = defaultdict(dict)
+        self._listed: dict[str, tuple[PoolVm, ...]] = {}
         self.sequence = 0
 
     def apply_changes(self, changes: Changes) -> None:
@@ -49,36 +50,38 @@
         now_s = self._clock.read_monotonic_s()
         for row in changes.rows:
             if row.table in CONTROL_TABLES:
-                self._rows[row.table, row.key] = SeenRow(row, changes.sequence, now_s)
+                self._rows[row.table][row.key] = SeenRow(row, changes.sequence, now_s)
             if row.table == TABLE_VMS:
                 self._apply_vm(row)
         self.sequence = changes.sequence
 
     def find(self, table: str, key: str) -> SeenRow | None:
         """Return the row, which has the value None when it was deleted, or None."""
-        return self._rows.get((table, key))
+        return self._rows[table].get(key)
 
     def read_version(self, table: str, key: str) -> int:
         """Return the version of the row, 0 for a missing one."""
-        seen = self._rows.get((table, key))
+        seen = self._rows[table].get(key)
         return 0 if seen is None or seen.row.value is None else seen.row.version
 
     def read_fields(self, table: str, key: str) -> dict[str, Any]:
         """Return the value of the row, empty for a missing one."""
-        seen = self._rows.get((table, key))
+        seen = self._rows[table].get(key)
         if seen is None or seen.row.value is None:
             return {}
         return seen.row.value
 
     def list_rows(self, table: str) -> Iterator[SeenRow]:
         """Return the rows of the table that are not deleted."""
-        for (row_table, _), seen in self._rows.items():
-            if row_table == table and seen.row.value is not None:
+        for seen in self._rows[table].values():
+            if seen.row.value is not None:
                 yield seen
 
     def list_pool(self, pool: str) -> tuple[PoolVm, ...]:
-        """Return the VMs of the pool."""
-        return tuple(self._pools[pool].values()) if pool in self._pools else ()
+        """Return the VMs of the pool; it is the same object until one of them changes."""
+        if pool not in self._listed:
+            self._listed[pool] = tuple(self._pools[pool].values())
+        return self._listed[pool]
 
     def list_lent(self, pool: str) -> list[PoolVm]:
         """Return the VMs of a spare pool that are in other pools."""
@@ -94,7 +97,9 @@
         known = self._vms.pop(row.key, None)
         if known is not None:
             self._pools[known.pool].pop(row.key)
+            self._listed.pop(known.pool, None)
         if row.value is not None:
             vm = parse_vm_row(row)
             self._vms[row.key] = vm
             self._pools[vm.pool][row.key] = vm
+            self._listed.pop(vm.pool, None)
--- a/comfreywind/control/health_watch.py
+++ b/comfreywind/control/health_watch.py
@@ -27,6 +27,7 @@
         """Start without observations."""
         self._clock = clock
         self._observations: dict[str, _Observation] = {}
+        self._failing: set[str] = set()
 
     def observe(
         self,
@@ -47,6 +48,11 @@
             )
         for name in set(self._observations) - set(incarnations):
             self._observations.pop(name)
+        self._failing = {name for name, seen in self._observations.items() if not seen.works}
+
+    def list_failing(self) -> frozenset[str]:
+        """Return the VMs that do not work."""
+        return frozenset(self._failing)
 
     def read(self, names: Collection[str]) -> dict[str, VmHealth]:
         """Return the health of the VMs that have been observed."""
--- a/comfreywind/control/pool_controller.py
+++ b/comfreywind/control/pool_controller.py
@@ -7,6 +7,7 @@
 from comfreywind.control.control_parts import ControlParts
 from comfreywind.control.lease_watch import LeaseWatch
 from comfreywind.control.pool_row import make_pool_fields
+from comfreywind.control.quiet_watch import QuietWatch
 from comfreywind.control.rebooter import Rebooter
 from comfreywind.control.snapshot_maker import make_snapshot, read_asked
 from comfreywind.control.vm_row import make_first_vm, make_vm_fields
@@ -35,6 +36,7 @@
         self._parts = parts
         self._lease = LeaseWatch(pool, parts.name, parts.incarnation, parts.view, parts.clock)
         self._rebooter = Rebooter(pool, parts)
+        self._quiet = QuietWatch(pool, parts.view, parts.health, parts.timings.control_quiet_s)
         self._awaited_version = 0
         self._committed_s = float('-inf')
 
@@ -67,10 +69,16 @@
             self._parts.decisions.record('control', f'pool/{self._pool}', cause)
 
     async def _work(self, rules: Rules, listed: Collection[VmEntry]) -> None:
+        now_s = self._parts.clock.read_monotonic_s()
+        first_rows = list(self._make_first_rows(listed))
+        if not first_rows and self._quiet.is_quiet(now_s):
+            await self._renew()
+            return
         snapshot = self._make_snapshot(rules)
         plan = plan_pool(snapshot, read_asked(self._parts.view, self._pool))
+        self._quiet.note(plan, rules.pools[self._pool].spare, now_s)
         writes = [
-            *self._make_first_rows(listed),
+            *first_rows,
             *self._make_vm_writes(plan),
             *self._make_pool_write(plan),
         ]
@@ -79,6 +87,10 @@
             self._record(plan, outcome)
         await self._rebooter.call_reboots(snapshot.vms)
 
+    async def _renew(self) -> None:
+        if self._is_renewal_due():
+            await self._commit([self._lease.make_write(LeaseStep.KEEP)])
+
     def _make_snapshot(self, rules: Rules) -> PoolSnapshot:
         parts = self._parts
         pool = rules.pools[self._pool]
--- a/comfreywind/control/snapshot_maker.py
+++ b/comfreywind/control/snapshot_maker.py
@@ -69,15 +69,18 @@
 
 
 def _list_requests(pool: PoolRules, view: ControlView) -> tuple[SpareRequest, ...]:
-    requests = []
+    asking_pools = {
+        seen.row.key: read_asked(view, seen.row.key).get(pool.name, 0)
+        for seen in view.list_rows(TABLE_BUDGETS)
+    }
+    wanted = {name: count for name, count in asking_pools.items() if count and name != pool.name}
+    if not wanted:
+        return ()
     vms = [*view.list_pool(pool.name), *view.list_lent(pool.name)]
-    for seen in view.list_rows(TABLE_BUDGETS):
-        asking = seen.row.key
-        wanted = read_asked(view, asking).get(pool.name, 0)
-        given = sum(_is_given(vm, asking) for vm in vms)
-        if wanted > given and asking != pool.name:
-            requests.append(SpareRequest(asking, wanted, given))
-    return tuple(requests)
+    return tuple(
+        SpareRequest(name, count, sum(_is_given(vm, name) for vm in vms))
+        for name, count in wanted.items()
+    )
 
 
 def _is_given(vm: PoolVm, asking: str) -> bool:
--- a/comfreywind/settings/timings.py
+++ b/comfreywind/settings/timings.py
@@ -27,6 +27,7 @@
     summary_interval_s: float = Field(default=60, gt=0)
     claim_retention_s: float = Field(default=86400, gt=0)
     control_interval_s: float = Field(default=1, gt=0)
+    control_quiet_s: float = Field(default=3, ge=0)
     control_renew_s: float = Field(default=2, gt=0)
     control_ttl_s: float = Field(default=8, gt=0)
     control_handover_s: float = Field(default=5, gt=0)
--- a/tests/helpers/maintenance.py
+++ b/tests/helpers/maintenance.py
@@ -14,6 +14,7 @@
     'fresh_s': 3,
     'session_ttl_s': 1,
     'control_interval_s': 0.2,
+    'control_quiet_s': 0.3,
     'control_renew_s': 0.4,
     'control_ttl_s': 1.5,
     'control_handover_s': 3,
