Wait for work of members that were fenced without being heard

A member in the table that this entry had never heard of was left out when it was fenced, so a drain could end before its work had. Each member in the table now counts, heard or not.

--- a/comfreywind/control/member_watch.py
+++ b/comfreywind/control/member_watch.py
@@ -9,6 +9,7 @@
 from comfreywind.peers.peer_state import PeerState
 from comfreywind.platform.table_names import TABLE_MEMBERS
 
+UNKNOWN_INCARNATION = 0
 OutstandingReader = Callable[[], Mapping[str, int]]
 
 
@@ -40,12 +41,15 @@
         self.unreported_since_s = self._started_s
 
     def observe(self) -> None:
-        """Note members that have gone, been fenced or been replaced since the last call."""
+        """Note members that have gone, been fenced or been replaced since the last call.
+
+        A member that has never been heard of counts too: it may have had work running when it was
+        fenced.
+        """
         states = self._find_states()
         incarnations = {
-            name: states[name].identity.incarnation
+            name: states[name].identity.incarnation if name in states else UNKNOWN_INCARNATION
             for name in self._list_others(states)
-            if name in states
         }
         lost = [
             name
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -47,6 +47,17 @@
         assert fleet.read_reboots()[0]['interrupted'] > 0
 
 
+def test_stopped_holder_hands_over() -> None:
+    """Guards against a pool without control after the graceful stop of its holder."""
+    plan = make_plan(1, 1, period_s=100)
+    plan.timings['control_ttl_s'] = 60
+    with Fleet(plan) as fleet:
+        holder = fleet.find_holder(POOL)
+        assert holder is not None
+        assert fleet.entries[holder].stop() == 0
+        wait_until(lambda: fleet.find_holder(POOL) not in {None, holder}, 'another holder')
+
+
 def test_wave_under_load() -> None:
     """Guards against requests cut off by a wave, and fewer VMs at any moment than required."""
     with Fleet(make_plan(6, 3)) as fleet:
