--- a/comfreywind/control/control_task.py
+++ b/comfreywind/control/control_task.py
@@ -45,7 +45,7 @@
             return
         if self._list_changed:
             self._group_listed()
-        self._adjust_controllers(set(rules.pools))
+        self._adjust_controllers(set(rules.pools) | self._parts.view.list_pools())
         if self._listed:
             await self._observe_vms(self._listed)
         async with trio.open_nursery() as nursery:
--- a/comfreywind/control/control_view.py
+++ b/comfreywind/control/control_view.py
@@ -83,6 +83,10 @@
             self._listed[pool] = tuple(self._pools[pool].values())
         return self._listed[pool]
 
+    def list_pools(self) -> set[str]:
+        """Return the pools that have VMs."""
+        return {pool for pool, vms in self._pools.items() if vms}
+
     def list_lent(self, pool: str) -> list[PoolVm]:
         """Return the VMs of a spare pool that are in other pools."""
         return [
--- a/comfreywind/control/pool_controller.py
+++ b/comfreywind/control/pool_controller.py
@@ -6,6 +6,7 @@
 from comfreywind.bundle.rules import Rules
 from comfreywind.control.control_parts import ControlParts
 from comfreywind.control.lease_watch import LeaseWatch
+from comfreywind.control.pool_lookup import find_pool_rules
 from comfreywind.control.pool_row import make_pool_fields
 from comfreywind.control.quiet_watch import QuietWatch
 from comfreywind.control.rebooter import Rebooter
@@ -76,7 +77,7 @@
             return
         snapshot = self._make_snapshot(rules)
         plan = plan_pool(snapshot, read_asked(self._parts.view, self._pool))
-        self._quiet.note(plan, rules.pools[self._pool].spare, now_s)
+        self._quiet.note(plan, find_pool_rules(rules, self._pool).spare, now_s)
         writes = [
             *first_rows,
             *self._make_vm_writes(plan),
@@ -93,7 +94,7 @@
 
     def _make_snapshot(self, rules: Rules) -> PoolSnapshot:
         parts = self._parts
-        pool = rules.pools[self._pool]
+        pool = find_pool_rules(rules, self._pool)
         now_s = parts.read_wall_s()
         vms = parts.view.list_pool(self._pool)
         graceful_s = max(other.max_run_s for other in rules.pools.values())
--- a/tests/control/test_racing_controllers.py
+++ b/tests/control/test_racing_controllers.py
@@ -190,3 +190,23 @@
     assert len(moves) == 4
     assert {pool for _, pool, _ in moves} == {'crossings', 'reserve'}
     assert count_available(platform, set()) == 6
+
+
+async def test_removed_pool_returns_spares() -> None:
+    """Guards against spare VMs that are lost to a pool which the bundle no longer names."""
+    clock = ManualClock()
+    platform = FakePlatform(make_vms(), random.Random(0), fault_ratio=0)
+    entry = Entry('a', platform, clock)
+    rules = make_rules()
+    pools = {name: replace(pool, maintenance_enabled=False) for name, pool in rules.pools.items()}
+    failed = {f'crossings-{index}' for index in range(4)}
+    for step in range(400):
+        clock.advance(0.5)
+        removed = {name: pool for name, pool in pools.items() if step < 200 or pool.spare}
+        entry.read_feed()
+        entry.observe(failed)
+        await entry.work(replace(rules, pools=removed))
+        if step == 199:
+            assert count_available(platform, failed) == 3
+    assert count_available(platform, failed) == 2
+    assert len(entry.view.list_pool('reserve')) == 2
