--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -3,6 +3,7 @@
 import enum
 import itertools
 import random
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import replace
 
@@ -115,11 +116,14 @@
         self._start_waiting(self._find_pool(placement.pool))
 
     def read_outstanding(self) -> dict[str, int]:
-        """Return the number of requests that hold a slot, by target, without zeros."""
-        outstanding: dict[str, int] = {}
+        """Return the number of requests that hold a slot, by target, without zeros.
+
+        A target that moves between pools may have requests of both.
+        """
+        outstanding: Counter[str] = Counter()
         for pool in self._pools.values():
             outstanding.update(pool.targets.own_outstanding)
-        return outstanding
+        return dict(outstanding)
 
     def wake_team(self, team: str) -> None:
         """Start what waits for a unit of the team."""
