--- a/bench/experiments/recovery.py
+++ b/bench/experiments/recovery.py
@@ -21,6 +21,7 @@
 GOAL_RATIO = 0.95
 RUN_S = 0.1
 TEAM = 'timetables'
+ENTRY_SCENARIOS = frozenset(('entry_killed', 'entry_frozen'))
 CEILING_UNITS = 24
 EXECUTORS = 8
 BUNDLE = {
@@ -88,7 +89,7 @@
     samples = Timeline(streams, [event], END_S).run()
     before_hz = measure_goodput_hz(samples, WARM_UP_S, FAULT_S)
     goal_hz = GOAL_RATIO * before_hz
-    if scenario.name == 'entry_killed' or scenario.name == 'entry_frozen':
+    if scenario.name in ENTRY_SCENARIOS:
         goal_hz = GOAL_RATIO * min(before_hz, scenario.rate_hz * 2 / 3)
     recovery_s = find_recovery_s(samples, FAULT_S, END_S, goal_hz)
     figures.add(f'recovery_{scenario.name}_goodput_before_hz', before_hz)
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -117,7 +117,10 @@
         self._start_waiting(pool)
 
     def read_outstanding(self) -> dict[str, int]:
-        """Return the number of requests that hold a slot, by target, without zeros."""
+        """Return the number of requests that hold a slot, by target, without zeros.
+
+        A target that moves between pools may have requests of both.
+        """
         outstanding: Counter[str] = Counter()
         for pool in self._pools.values():
             outstanding.update(pool.targets.own_outstanding)
--- a/comfreywind/settings/timings.py
+++ b/comfreywind/settings/timings.py
@@ -1,6 +1,6 @@
 """Time limits and periods of an entry process, in seconds."""
 
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from comfreywind.settings.base import SettingsModel
 
@@ -27,6 +27,7 @@
     summary_interval_s: float = Field(default=60, gt=0)
     claim_retention_s: float = Field(default=86400, gt=0)
     control_interval_s: float = Field(default=1, gt=0)
+    control_quiet_s: float = Field(default=3, ge=0)
     control_renew_s: float = Field(default=2, gt=0)
     control_ttl_s: float = Field(default=8, gt=0)
     control_handover_s: float = Field(default=5, gt=0)
@@ -37,3 +38,14 @@
     retire_s: float = Field(default=3600, gt=0)
     run_margin_s: float = Field(default=2, ge=0)
     decision_flush_s: float = Field(default=30, gt=0)
+
+    @model_validator(mode='after')
+    def check_fresh(self) -> 'Timings':
+        """Refuse timings with which a slow store makes every view stale between two attempts."""
+        attempt_s = self.platform_timeout_s + self.feed_interval_s
+        if self.fresh_s <= attempt_s + 2 * self.heartbeat_interval_s:
+            raise ValueError(
+                'fresh_s must be above platform_timeout_s + feed_interval_s'
+                ' + 2 * heartbeat_interval_s'
+            )
+        return self
