--- a/bench/fleet_process.py
+++ b/bench/fleet_process.py
@@ -21,6 +21,7 @@
         self._settings_path = folder / f'{name}.yaml'
         self._settings_path.write_text(yaml.safe_dump(settings), encoding='utf-8')
         self._command = command
+        self.python_options: tuple[str, ...] = ()
         self._popen: subprocess.Popen[bytes] | None = None
 
     @property
@@ -32,7 +33,7 @@
 
     def start(self) -> None:
         """Start the process."""
-        arguments = [sys.executable, '-m', 'comfreywind', *self._command]
+        arguments = [sys.executable, *self.python_options, '-m', 'comfreywind', *self._command]
         with self.log_path.open('ab') as log_file:
             self._popen = subprocess.Popen(
                 [*arguments, '--settings', str(self._settings_path)],
