Classify how an attempt at a target ends and retry within limits

The entry keeps its own connections to each target on httpcore's HTTP/1.1 connection, because the pool of httpcore tells neither whether a byte was sent nor whether a connection was reused. Retries, retry budget, ejection and claims are pure decisions. A unit stays held until the target has closed an exchange that was given up, or until its lease is over: released earlier, the team could exceed its ceiling for a moment.

--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -1,17 +1,17 @@
 """Measures what an entry adds to a request: latency, requests a second and where the time goes."""
 
-import http.client
 import multiprocessing
+import os
 import pstats
 import sys
 import time
+from http.client import HTTPConnection
 from multiprocessing.pool import Pool
 from pathlib import Path
 from typing import Any
 
 import click
 import httpcore
-import psutil
 from hdrh.histogram import HdrHistogram
 
 from bench.fleet import Fleet
@@ -44,8 +44,9 @@
 def load_entry(address: str, path: str, key: str) -> tuple[int, int]:
     """Send requests on one connection for a fixed time; return the counts of 200 and of others."""
     host, _, port = address.rpartition(':')
-    connection = http.client.HTTPConnection(host, int(port), timeout=10)
-    answered = other = 0
+    connection = HTTPConnection(host, int(port), timeout=10)
+    answered = 0
+    other = 0
     end_s = time.monotonic() + CLIENT_SECONDS
     while time.monotonic() < end_s:
         connection.request('GET', path, headers={'authorization': f'Bearer {key}'})
@@ -57,15 +58,21 @@
     return answered, other
 
 
+def read_cpu_s(pid: int) -> float:
+    """Return the CPU time in seconds that the process has used so far."""
+    fields = Path(f'/proc/{pid}/stat').read_text(encoding='utf-8').rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+
 def measure_throughput(fleet: Fleet, path: str, clients: Pool) -> dict[str, Any]:
     """Return requests a second through one entry with the CPU time of the entry for each."""
-    entry = psutil.Process(fleet.entries[0].pid)
-    before = entry.cpu_times()
-    arguments = [(fleet.caller_addresses[0], path, fleet.keys[TEAM])] * CLIENT_PROCESSES
+    pid = fleet.entries[0].pid
+    before_s = read_cpu_s(pid)
+    client = (fleet.caller_addresses[0], path, fleet.keys[TEAM])
+    arguments = [client for _ in range(CLIENT_PROCESSES)]
     counts = clients.starmap(load_entry, arguments)
-    after = entry.cpu_times()
     answered = sum(count for count, _ in counts)
-    cpu_s = after.user + after.system - before.user - before.system
+    cpu_s = read_cpu_s(pid) - before_s
     return {
         'requests_per_s': round(answered / CLIENT_SECONDS),
         'other_answers': sum(other for _, other in counts),
--- a/bench/ports.py
+++ b/bench/ports.py
@@ -1,30 +1,51 @@
 """Finds free ports on loopback."""
 
-import itertools
+import fcntl
 import os
 import socket
+import tempfile
+from pathlib import Path
+from typing import TextIO
 
-FIRST_PORT = 11000
-PORTS_PER_WORKER = 1500
+# Below the range from which the kernel takes the ports of outgoing connections.
+FIRST_PORT = 11_000
+PORTS_COUNT = 21_000
+STEP_PER_PROCESS = 97
 
 
 class PortAllocator:
-    """Hands out ports below the ephemeral range, from a range of its own for each test worker."""
+    """Hands out ports that no other process of this machine's test runs uses.
+
+    Several test runs may go on at once, and a port is bound only some time after it was chosen. So
+    each port is reserved by a file lock, which the kernel releases when this process ends.
+    """
 
     def __init__(self) -> None:
-        """Choose the range by the number of the pytest worker, if there is one."""
-        worker_name = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
-        worker = int(worker_name.removeprefix('gw')) % 12
-        first = FIRST_PORT + worker * PORTS_PER_WORKER
-        self._candidates = itertools.cycle(range(first, first + PORTS_PER_WORKER))
+        """Start at a port that depends on the process id, to find free ones quickly."""
+        self._next = os.getpid() * STEP_PER_PROCESS % PORTS_COUNT
+        self._locks: list[TextIO] = []
+        self._folder = Path(tempfile.gettempdir()) / 'comfreywind-ports'
 
     def find_free(self) -> int:
-        """Return the next port that nothing listens on."""
-        for port in self._candidates:
-            if _is_free(port):
+        """Return the next port that nothing listens on, and reserve it."""
+        for _ in range(PORTS_COUNT):
+            port = FIRST_PORT + self._next
+            self._next = (self._next + 1) % PORTS_COUNT
+            if self._reserve(port) and _is_free(port):
                 return port
         raise RuntimeError('no free port')
 
+    def _reserve(self, port: int) -> bool:
+        self._folder.mkdir(exist_ok=True)
+        lock_file = (self._folder / str(port)).open('w', encoding='utf-8')
+        try:
+            fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            lock_file.close()
+            return False
+        self._locks.append(lock_file)
+        return True
+
 
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
--- /dev/null
+++ b/comfreywind/entry/answer_sender.py
@@ -0,0 +1,95 @@
+"""Sends the answer of a target to the caller."""
+
+from contextlib import aclosing
+
+import trio
+
+from comfreywind.decisions.refusal import Outcome
+from comfreywind.entry.header_rules import list_headers, select_answer_headers
+from comfreywind.entry.target_answer import BODILESS_STATUSES, TargetAnswer
+from comfreywind.entry.target_call import EXCHANGE_ERRORS
+from comfreywind.http.asgi_types import HeaderList, Send
+
+CHUNKS_AHEAD = 4
+STATUS_NO_CONTENT = 204
+
+
+class AnswerCutError(Exception):
+    """The answer broke off after its headers had gone to the caller.
+
+    The caller's connection must be closed without the end of the body.
+    """
+
+
+async def send_answer(
+    answer: TargetAnswer, method: str, request_id: str, time_left_s: float, send: Send
+) -> None:
+    """Send the whole answer; raise AnswerCutError when it breaks off or takes too long."""
+    headers = [
+        *select_answer_headers(answer.headers),
+        *_make_length(answer, method),
+        (b'x-request-id', request_id.encode()),
+        (b'comfreywind-outcome', Outcome.ANSWERED.value.encode()),
+    ]
+    await send({'type': 'http.response.start', 'status': answer.status, 'headers': headers})
+    await send(
+        {'type': 'http.response.body', 'body': answer.head, 'more_body': not answer.complete}
+    )
+    if not answer.complete:
+        await _send_rest(answer, time_left_s, send)
+
+
+async def _send_rest(answer: TargetAnswer, time_left_s: float, send: Send) -> None:
+    """Read and send in separate tasks.
+
+    A caller that stops reading blocks the sending, which can't be cancelled; the reading ends at
+    the deadline all the same and frees the place at the target.
+    """
+    send_chunk, receive_chunk = trio.open_memory_channel[bytes](CHUNKS_AHEAD)
+    reader = _AnswerReader(answer, send_chunk, time_left_s)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reader.run)
+        async for chunk in receive_chunk:
+            await send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
+    if not reader.complete:
+        raise AnswerCutError('the answer of the target broke off or took too long')
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+class _AnswerReader:
+    def __init__(
+        self, answer: TargetAnswer, send_chunk: trio.MemorySendChannel[bytes], time_left_s: float
+    ) -> None:
+        self._answer = answer
+        self._send_chunk = send_chunk
+        self._time_left_s = time_left_s
+        self.complete = False
+
+    async def run(self) -> None:
+        """Read the rest of the body until its end, a failure or the deadline."""
+        try:
+            with trio.move_on_after(self._time_left_s), self._send_chunk:
+                await self._read()
+        except EXCHANGE_ERRORS:
+            return
+        finally:
+            self._answer.work.end(complete=self.complete)
+
+    async def _read(self) -> None:
+        async with aclosing(self._answer.chunks) as chunks:
+            async for chunk in chunks:
+                await self._send_chunk.send(chunk)
+        self.complete = True
+
+
+def _make_length(answer: TargetAnswer, method: str) -> HeaderList:
+    stated = [(b'content-length', text.encode()) for text in _list_lengths(answer)]
+    if answer.status == STATUS_NO_CONTENT:
+        return []
+    if not answer.complete or method == 'HEAD' or answer.status in BODILESS_STATUSES:
+        return stated
+    return [(b'content-length', str(len(answer.head)).encode())]
+
+
+def _list_lengths(answer: TargetAnswer) -> list[str]:
+    return list_headers(answer.headers, b'content-length')[:1]
--- a/comfreywind/entry/caller_app.py
+++ b/comfreywind/entry/caller_app.py
@@ -3,25 +3,31 @@
 import json
 import logging
 import math
-import re
 import uuid
 
-from comfreywind.bundle.rules import Rules
+import trio
+
+from comfreywind.bundle.rules import PoolRules, QueueRules, Rules
 from comfreywind.clock import Clock
 from comfreywind.decisions.admission import Admission, AdmissionRequest, admit_request
 from comfreywind.decisions.refusal import Refusal, RefusalReason
+from comfreywind.entry.answer_sender import AnswerCutError
+from comfreywind.entry.caller_body import CallerBody
 from comfreywind.entry.caller_request import CallerRequest
 from comfreywind.entry.forwarder import Forwarder
 from comfreywind.entry.header_rules import find_header, select_request_headers
+from comfreywind.entry.idempotency_key import read_idempotency_key
+from comfreywind.entry.queue_path import QueuePath, split_queue_path
 from comfreywind.entry.refusal_error import RefusalError
+from comfreywind.entry.request_check import check_request
 from comfreywind.entry.rules_view import RulesView
-from comfreywind.http.asgi_body import BodyIncompleteError, BodyTooLargeError, read_body
+from comfreywind.entry.wait_preference import read_wait_s
+from comfreywind.http.asgi_body import BodyIncompleteError
 from comfreywind.http.asgi_reply import send_json, send_reply
 from comfreywind.http.asgi_types import HeaderList, Receive, Scope, Send
 
-QUEUE_PATH = re.compile('^/queues/([^/]+)(/.*)?$')
-REQUEST_ID = re.compile('^[A-Za-z0-9._:-]{1,128}$')
-WAIT_PREFERENCE = re.compile(r'(?:^|[,;\s])wait=(\d+(?:\.\d+)?)')
+# A body that takes longer is refused, so that slow senders don't pile up.
+BODY_TIMEOUT_S = 30.0
 
 log = logging.getLogger('comfreywind.caller')
 
@@ -52,30 +58,49 @@
             await send_json(send, 200 if ready else 503, {'ready': ready})
             return
         request_id = find_header(scope['headers'], b'x-request-id') or uuid.uuid4().hex
+        body = CallerBody(receive, self._body_limit_bytes)
         try:
-            await self._serve(scope, receive, send, request_id)
+            await self._serve(scope, body, send, request_id)
         except RefusalError as error:
-            await send_refusal(send, error.refusal, request_id)
+            await send_refusal(send, error.refusal, request_id, body)
         except BodyIncompleteError:
             log.info('request %s: the caller left before its body was complete', request_id)
+        except AnswerCutError as error:
+            # Returning now makes the server close the connection without the end of the body.
+            log.warning('request %s: %s', request_id, error)
 
-    async def _serve(self, scope: Scope, receive: Receive, send: Send, request_id: str) -> None:
+    async def _serve(self, scope: Scope, body: CallerBody, send: Send, request_id: str) -> None:
         rules = self._read_rules()
-        if not REQUEST_ID.match(request_id):
-            raise RefusalError(
-                Refusal(
-                    RefusalReason.HEADER_MALFORMED, 'X-Request-ID is not 1 to 128 plain letters'
-                )
-            )
-        path = QUEUE_PATH.match(scope['path'])
+        check_request(scope, request_id)
+        path = split_queue_path(scope)
         if path is None:
             raise RefusalError(
                 Refusal(RefusalReason.QUEUE_UNKNOWN, 'paths start with /queues/{queue}/')
             )
-        admission = self._admit(scope['headers'], path.group(1), rules)
-        request = await self._read_request(scope, receive, request_id, admission)
+        admission = self._admit(scope['headers'], path.queue, rules)
+        request = await self._read_request(scope, body, request_id, admission, path)
         pool = rules.pools[admission.queue.pool]
-        await self._forwarder.forward(request, admission.queue, pool.max_run_s, send)
+        await self._forward(request, admission.queue, pool, body, send)
+
+    async def _forward(
+        self,
+        request: CallerRequest,
+        queue: QueueRules,
+        pool: PoolRules,
+        body: CallerBody,
+        send: Send,
+    ) -> None:
+        """Forward until the end or until the caller disconnects."""
+        failure: RefusalError | AnswerCutError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(body.cancel_on_disconnect, nursery.cancel_scope)
+            try:
+                await self._forwarder.forward(request, queue, pool, send)
+            except (RefusalError, AnswerCutError) as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
 
     def _read_rules(self) -> Rules:
         reason = self._find_unready_reason()
@@ -111,34 +136,33 @@
         return admission
 
     async def _read_request(
-        self, scope: Scope, receive: Receive, request_id: str, admission: Admission
+        self,
+        scope: Scope,
+        body: CallerBody,
+        request_id: str,
+        admission: Admission,
+        path: QueuePath,
     ) -> CallerRequest:
         headers: HeaderList = scope['headers']
-        deadline_s = self._clock.read_monotonic_s() + self._read_wait_s(headers)
-        try:
-            body = await read_body(receive, self._body_limit_bytes)
-        except BodyTooLargeError as error:
-            raise RefusalError(Refusal(RefusalReason.BODY_TOO_LARGE, str(error))) from error
+        wait_s = read_wait_s(headers, self._default_deadline_s)
+        deadline_s = self._clock.read_monotonic_s() + wait_s
+        idempotency_key = read_idempotency_key(headers)
         return CallerRequest(
             request_id=request_id,
             method=scope['method'],
-            target_path=_make_target_path(scope, admission.queue.name),
+            target_path=path.target_path,
             headers=select_request_headers(headers),
-            body=body,
+            body=await body.read_whole(min(wait_s, BODY_TIMEOUT_S)),
             team=admission.team,
             deadline_s=deadline_s,
-            idempotency_key=find_header(headers, b'idempotency-key'),
+            idempotency_key=idempotency_key,
         )
 
-    def _read_wait_s(self, headers: HeaderList) -> float:
-        """Return the caller's wait preference (RFC 7240 section 4.3) or the default."""
-        preference = WAIT_PREFERENCE.search(find_header(headers, b'prefer'))
-        return float(preference.group(1)) if preference else self._default_deadline_s
 
-
-async def send_refusal(send: Send, refusal: Refusal, request_id: str) -> None:
+async def send_refusal(send: Send, refusal: Refusal, request_id: str, body: CallerBody) -> None:
     """Send a refusal as problem details (RFC 9457)."""
     headers: HeaderList = [
+        (b'content-type', b'application/problem+json'),
         (b'x-request-id', request_id.encode('latin-1', 'replace')),
         (b'comfreywind-outcome', refusal.outcome.value.encode()),
     ]
@@ -146,20 +170,14 @@
         headers.append((b'retry-after', str(math.ceil(refusal.retry_after_s)).encode()))
     if refusal.reason.status == 401:
         headers.append((b'www-authenticate', b'Bearer'))
-    await send_problem(send, refusal.reason.status, refusal.to_document(request_id), headers)
-
-
-async def send_problem(
-    send: Send, status: int, document: dict[str, object], headers: HeaderList
-) -> None:
-    """Send a problem details document."""
-    body = json.dumps(document).encode()
-    content_type = (b'content-type', b'application/problem+json')
-    await send_reply(send, status, [content_type, *headers], body)
-
-
-def _make_target_path(scope: Scope, queue: str) -> bytes:
-    raw_path: bytes = scope['raw_path']
-    rest = raw_path[len(f'/queues/{queue}') :] or b'/'
-    query: bytes = scope['query_string']
-    return b'?'.join((rest, query)) if query else rest
+    document = json.dumps(refusal.to_document(request_id)).encode()
+    if body.complete:
+        await send_reply(send, refusal.reason.status, headers, document)
+        return
+    headers.append((b'connection', b'close'))
+    headers.append((b'content-length', str(len(document)).encode()))
+    await send({'type': 'http.response.start', 'status': refusal.reason.status, 'headers': headers})
+    await send({'type': 'http.response.body', 'body': document, 'more_body': True})
+    # The caller has its whole answer; closing before it stops sending could destroy it on the way.
+    await body.discard_rest()
+    await send({'type': 'http.response.body', 'body': b''})
--- /dev/null
+++ b/comfreywind/entry/caller_body.py
@@ -0,0 +1,55 @@
+"""The body that a caller sends, and whether the caller is still there."""
+
+import trio
+
+from comfreywind.decisions.refusal import Refusal, RefusalReason
+from comfreywind.entry.refusal_error import RefusalError
+from comfreywind.http.asgi_body import BodyTooLargeError, read_body
+from comfreywind.http.asgi_types import Message, Receive
+
+DISCONNECT = 'http.disconnect'
+# A caller that goes on sending after its refusal gets this long before the connection is closed.
+DISCARD_S = 2.0
+
+
+class CallerBody:
+    """Reads the body within limits and notices the end of the connection."""
+
+    def __init__(self, receive: Receive, limit_bytes: int) -> None:
+        """Use the server's function for the next part of the body."""
+        self._receive = receive
+        self._limit_bytes = limit_bytes
+        self.complete = False
+
+    async def read_whole(self, timeout_s: float) -> bytes:
+        """Return the body; raise RefusalError when it is too large or too slow.
+
+        Raises BodyIncompleteError when the caller disconnects.
+        """
+        with trio.move_on_after(timeout_s):
+            try:
+                return await read_body(self._receive_part, self._limit_bytes)
+            except BodyTooLargeError as error:
+                raise RefusalError(Refusal(RefusalReason.BODY_TOO_LARGE, str(error))) from error
+        raise RefusalError(
+            Refusal(RefusalReason.BODY_TIMEOUT, f'no whole body within {timeout_s} s')
+        )
+
+    async def cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
+        """Cancel the scope when the caller closes its connection."""
+        message = await self._receive_part()
+        while message['type'] != DISCONNECT:
+            message = await self._receive_part()
+        scope.cancel()
+
+    async def discard_rest(self) -> None:
+        """Read the rest of the body and drop it, within DISCARD_S."""
+        with trio.move_on_after(DISCARD_S):
+            while not self.complete:
+                await self._receive_part()
+
+    async def _receive_part(self) -> Message:
+        message = await self._receive()
+        if message['type'] == DISCONNECT or not message.get('more_body', False):
+            self.complete = True
+        return message
--- a/comfreywind/entry/caller_request.py
+++ b/comfreywind/entry/caller_request.py
@@ -21,4 +21,4 @@
     @property
     def idempotent(self) -> bool:
         """Return whether the method may be repeated (RFC 9110 section 9.2.2)."""
-        return self.method in {'GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE'}
+        return self.method in {'GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'}
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -11,8 +11,10 @@
 from comfreywind.entry.placement import Placement
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.target_health import TargetHealth
 from comfreywind.entry.ticket import Ticket
 from comfreywind.entry.unit_source import UnitSource
+from comfreywind.platform.vm_entry import VmEntry
 
 RETRY_AFTER_S = 1.0
 POLL_INTERVAL_S = 0.01
@@ -22,13 +24,19 @@
     """Places tickets; a ticket waits in its queue until its deadline."""
 
     def __init__(
-        self, rules_view: RulesView, fleet_view: FleetView, units: UnitSource, clock: Clock
+        self,
+        rules_view: RulesView,
+        fleet_view: FleetView,
+        units: UnitSource,
+        clock: Clock,
+        target_health: TargetHealth,
     ) -> None:
         """Start with nothing waiting."""
         self._rules_view = rules_view
         self._fleet_view = fleet_view
         self._units = units
         self._clock = clock
+        self._target_health = target_health
         self._waiting: Counter[tuple[str, str]] = Counter()
         self._outstanding: Counter[str] = Counter()
 
@@ -69,14 +77,18 @@
         if rules is None:
             return None
         slots = rules.pools[ticket.queue.pool].slots_per_vm
+        usable = self._fleet_view.list_usable(ticket.queue.pool)
         candidates = [
             vm
-            for vm in self._fleet_view.list_usable(ticket.queue.pool)
+            for vm in self._target_health.list_admitted(usable, ticket.idempotent)
             if self._outstanding[vm.name] < slots and vm.name not in ticket.excluded_targets
         ]
         if not candidates or not self._units.try_take(ticket.team):
             return None
         pair = random.sample(candidates, min(2, len(candidates)))
-        target = min(pair, key=lambda vm: self._outstanding[vm.name])
+        target = min(pair, key=self._find_load)
         self._outstanding[target.name] += 1
         return Placement(target, ticket.team, ticket.queue.pool)
+
+    def _find_load(self, vm: VmEntry) -> int:
+        return self._outstanding[vm.name] + self._target_health.count_failure_load(vm)
--- a/comfreywind/entry/header_rules.py
+++ b/comfreywind/entry/header_rules.py
@@ -21,14 +21,18 @@
         b'host',
         b'content-length',
         b'expect',
+        b'comfreywind-outcome',
         b'x-request-id',
         b'comfreywind-team',
         b'comfreywind-start-before',
         b'comfreywind-run-until',
     )
 )
-# The entry sets these itself; date is set by the HTTP server.
-ANSWER_HEADERS = frozenset((b'comfreywind-outcome', b'x-request-id', b'date', b'server'))
+# The entry sets these itself; date is set by the HTTP server. The length is set again, because a
+# whole buffered body has one even when the target sent chunks.
+ANSWER_HEADERS = frozenset(
+    (b'comfreywind-outcome', b'x-request-id', b'date', b'server', b'content-length')
+)
 
 
 def select_request_headers(headers: HeaderList) -> HeaderList:
@@ -51,6 +55,28 @@
     return ''
 
 
+def list_headers(headers: HeaderList, name: bytes) -> list[str]:
+    """Return the texts of all headers of that lower-case name."""
+    return [text.decode('latin-1') for header_name, text in headers if header_name.lower() == name]
+
+
+def join_headers(headers: HeaderList, name: bytes) -> str:
+    """Return all headers of that lower-case name as one list (RFC 9110 section 5.3)."""
+    return ', '.join(list_headers(headers, name))
+
+
+def find_framing_conflict(headers: HeaderList) -> str:
+    """Return why the length of the body is ambiguous, or an empty text.
+
+    A request with both framings is how requests are smuggled past a proxy (RFC 9112 section 6.1).
+    """
+    if not list_headers(headers, b'transfer-encoding'):
+        return ''
+    if list_headers(headers, b'content-length'):
+        return 'Transfer-Encoding and Content-Length must not come together'
+    return ''
+
+
 def _read_connection_options(headers: HeaderList) -> frozenset[bytes]:
     return frozenset(
         option.strip().lower()
--- /dev/null
+++ b/comfreywind/entry/request_run.py
@@ -0,0 +1,104 @@
+"""The attempts of one request so far."""
+
+from comfreywind.bundle.rules import PoolRules, QueueRules
+from comfreywind.decisions.attempt import Attempt, AttemptEnd, find_outcome
+from comfreywind.decisions.refusal import Outcome, Refusal, RefusalReason
+from comfreywind.entry.caller_request import CallerRequest
+from comfreywind.entry.target_call import TargetCall
+from comfreywind.entry.ticket import Ticket
+
+RETRY_AFTER_S = 1.0
+
+
+class RequestRun:
+    """Collects what is known of a request that may need several attempts."""
+
+    def __init__(
+        self, request: CallerRequest, queue: QueueRules, pool: PoolRules, has_claim: bool
+    ) -> None:
+        """Start before the first attempt."""
+        self.request = request
+        self.queue = queue
+        self.pool = pool
+        self.refusals = 0
+        self.failures = 0
+        self.failed_targets: frozenset[str] = frozenset()
+        self.busy_target = ''
+        self.call: TargetCall | None = None
+        self.answered = False
+        self._has_claim = has_claim
+        self._may_have_run = False
+
+    def make_ticket(self) -> Ticket:
+        """Return the ticket for the next attempt."""
+        return Ticket(
+            self.request.request_id,
+            self.queue,
+            self.request.team,
+            self.request.deadline_s,
+            self.list_excluded(),
+            self.request.idempotent,
+        )
+
+    def list_excluded(self) -> frozenset[str]:
+        """Return the targets that should not get the next attempt."""
+        return self.failed_targets | {self.busy_target} if self.busy_target else self.failed_targets
+
+    def record(self, attempt: Attempt, target_name: str) -> None:
+        """Take the result of an attempt."""
+        self.call = None
+        self.busy_target = ''
+        if find_outcome(attempt) is not Outcome.NOT_RUN:
+            self._may_have_run = True
+        if attempt.end is AttemptEnd.REFUSED:
+            self.refusals += 1
+            self.busy_target = target_name
+        elif attempt.end is not AttemptEnd.ANSWERED:
+            self.failures += 1
+            self.failed_targets |= {target_name}
+
+    def find_outcome(self) -> Outcome:
+        """Return what is known of the request now."""
+        if self.answered:
+            return Outcome.ANSWERED
+        if self.call is not None and self.call.describe(AttemptEnd.BROKEN).byte_sent:
+            return Outcome.UNKNOWN
+        return Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+
+    def make_refusal(self, attempt: Attempt, target_name: str) -> Refusal:
+        """Return the final refusal after the last attempt."""
+        outcome = self.find_outcome()
+        reason, detail = _explain(attempt, outcome)
+        return Refusal(
+            reason, f'{target_name} {detail}', outcome, self._find_retry_after_s(outcome)
+        )
+
+    def restate(self, refusal: Refusal) -> Refusal:
+        """Return a refusal of the queue as it holds after earlier attempts."""
+        if self.find_outcome() is Outcome.NOT_RUN:
+            return refusal
+        detail = f'an attempt failed and no other followed: {refusal.detail}'
+        return Refusal(
+            RefusalReason.TARGET_FAILED,
+            detail,
+            Outcome.UNKNOWN,
+            self._find_retry_after_s(Outcome.UNKNOWN),
+        )
+
+    def _find_retry_after_s(self, outcome: Outcome) -> float | None:
+        """Return when to repeat; a repeat of what may have run helps only if it can't run twice."""
+        if outcome is Outcome.NOT_RUN or self.request.idempotent or self._has_claim:
+            return RETRY_AFTER_S
+        return None
+
+
+def _explain(attempt: Attempt, outcome: Outcome) -> tuple[RefusalReason, str]:
+    if attempt.end is AttemptEnd.REFUSED and outcome is Outcome.NOT_RUN:
+        return RefusalReason.NO_TARGET, 'and others have no free slot'
+    if attempt.end is AttemptEnd.TIMED_OUT and outcome is Outcome.NOT_RUN:
+        return RefusalReason.NO_TARGET, 'had no connection free in time'
+    if attempt.end is AttemptEnd.TIMED_OUT:
+        return RefusalReason.TARGET_TIMEOUT, 'did not answer in time'
+    if attempt.end is AttemptEnd.UNREACHABLE:
+        return RefusalReason.TARGET_FAILED, "can't be reached"
+    return RefusalReason.TARGET_FAILED, 'broke off the exchange'
--- /dev/null
+++ b/comfreywind/entry/target_call.py
@@ -0,0 +1,164 @@
+"""One attempt at one target."""
+
+from collections.abc import Callable
+from functools import partial
+
+import httpcore
+import trio
+
+from comfreywind.decisions.attempt import Attempt, AttemptEnd
+from comfreywind.entry.service_tasks import ServiceTasks
+from comfreywind.entry.target_answer import TargetAnswer, read_answer
+from comfreywind.entry.target_connection import TargetConnection
+from comfreywind.entry.target_connections import TargetConnections, TargetUnreachableError
+from comfreywind.entry.target_work import TargetWork
+
+Release = Callable[[], None]
+REPEAT_POLL_S = 0.05
+EXCHANGE_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError)
+
+
+class TargetCall:
+    """Sends a request to a target and, when its connection may be silent, over a new one as well.
+
+    A reused connection that stays silent for `silence_s` is suspected (docs/design.md, 3.6): the
+    idle connections of its age are closed, and the request is repeated as soon as `take_repeat`
+    returns a function that releases what the repeat holds. The answer that arrives first wins.
+    Without `take_repeat` nothing is repeated.
+    """
+
+    def __init__(
+        self,
+        connections: TargetConnections,
+        request: httpcore.Request,
+        services: ServiceTasks,
+        connections_limit: int,
+        buffer_limit_bytes: int,
+        silence_s: float,
+        take_repeat: Callable[[], Release | None] | None,
+    ) -> None:
+        """Prepare the call; nothing is sent yet."""
+        self._connections = connections
+        self._request = request
+        self._services = services
+        self._connections_limit = connections_limit
+        self._buffer_limit_bytes = buffer_limit_bytes
+        self._silence_s = silence_s
+        self._take_repeat = take_repeat
+        self._connection: TargetConnection | None = None
+        self._first_scope = trio.CancelScope()
+        self._repeat_scope = trio.CancelScope()
+        self._repeat_began = False
+        self._repeat_ended = trio.Event()
+        self._repeat_answer: TargetAnswer | None = None
+        self._ended = False
+
+    async def run(self, release: Release, run_for_s: float) -> TargetAnswer | Attempt:
+        """Return the answer, or how the attempt failed within `run_for_s` seconds.
+
+        Calls `release` when nothing of the first exchange runs at the target any more.
+        """
+        started_s = trio.current_time()
+        reply: TargetAnswer | Attempt | None = None
+        with trio.move_on_after(run_for_s):
+            try:
+                reply = await self._run_both(release, started_s + run_for_s)
+            finally:
+                self._end_repeat(reply)
+        if reply is None:
+            return self.describe(AttemptEnd.TIMED_OUT, trio.current_time() - started_s)
+        return reply
+
+    def describe(self, end: AttemptEnd, taken_s: float = 0) -> Attempt:
+        """Return the attempt as it ended."""
+        if self._connection is None:
+            return Attempt(end, byte_sent=False, byte_received=False, taken_s=taken_s)
+        stream = self._connection.stream
+        reused = self._connection.reused
+        return Attempt(end, stream.byte_sent, stream.byte_received, reused, taken_s)
+
+    async def _run_both(self, release: Release, run_until_s: float) -> TargetAnswer | Attempt:
+        with self._first_scope:
+            first = await self._run_first(release, run_until_s)
+            if isinstance(first, TargetAnswer) or not self._repeat_began:
+                return first
+            await self._repeat_ended.wait()
+        if self._repeat_answer is not None:
+            return self._repeat_answer
+        return self.describe(AttemptEnd.BROKEN)
+
+    async def _run_first(self, release: Release, run_until_s: float) -> TargetAnswer | Attempt:
+        try:
+            connection = await self._connections.lease(self._connections_limit)
+        except TargetUnreachableError:
+            release()
+            return self.describe(AttemptEnd.UNREACHABLE)
+        except trio.Cancelled:
+            release()
+            raise
+        self._connection = connection
+        report_silence = None
+        if connection.reused:
+            report_silence = partial(self._suspect, run_until_s)
+        connection.stream.start_exchange(self._silence_s, report_silence)
+        work = self._make_work(connection, release, run_until_s)
+        try:
+            return await self._exchange(work)
+        except EXCHANGE_ERRORS:
+            return self.describe(AttemptEnd.BROKEN)
+
+    async def _exchange(self, work: TargetWork) -> TargetAnswer:
+        try:
+            return await read_answer(self._request, work, self._buffer_limit_bytes)
+        except BaseException:
+            work.end()
+            raise
+
+    def _suspect(self, run_until_s: float) -> None:
+        if self._connection is None:
+            return
+        self._connections.retire(self._connection)
+        if self._take_repeat is not None:
+            self._services.start(partial(self._run_repeat, self._take_repeat, run_until_s))
+
+    async def _run_repeat(self, take: Callable[[], Release | None], run_until_s: float) -> None:
+        with self._repeat_scope:
+            release = take()
+            while release is None:
+                await trio.sleep(REPEAT_POLL_S)
+                release = take()
+            self._repeat_began = True
+            self._repeat_answer = await self._try_repeat(release, run_until_s)
+        self._repeat_ended.set()
+        if self._repeat_answer is None:
+            return
+        if self._ended:
+            self._repeat_answer.work.end()
+        else:
+            self._first_scope.cancel()
+
+    async def _try_repeat(self, release: Release, run_until_s: float) -> TargetAnswer | None:
+        try:
+            connection = await self._connections.lease(self._connections_limit, fresh=True)
+        except TargetUnreachableError:
+            release()
+            return None
+        except trio.Cancelled:
+            release()
+            raise
+        connection.stream.start_exchange(self._silence_s, None)
+        try:
+            return await self._exchange(self._make_work(connection, release, run_until_s))
+        except EXCHANGE_ERRORS:
+            return None
+
+    def _make_work(
+        self, connection: TargetConnection, release: Release, run_until_s: float
+    ) -> TargetWork:
+        return TargetWork(self._connections, connection, release, run_until_s, self._services)
+
+    def _end_repeat(self, reply: TargetAnswer | Attempt | None) -> None:
+        self._ended = True
+        self._repeat_scope.cancel()
+        if self._repeat_answer is not None and self._repeat_answer is not reply:
+            self._repeat_answer.work.end()
--- /dev/null
+++ b/comfreywind/entry/target_caller.py
@@ -0,0 +1,206 @@
+"""Tries targets until one answers, within the limits for retries."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from functools import partial
+
+import httpcore
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.decisions.attempt import Attempt, AttemptEnd, counts_as_failure
+from comfreywind.decisions.refusal import Refusal, RefusalReason
+from comfreywind.decisions.retry import RetryContext, RetryDecision, decide_retry, find_pause_s
+from comfreywind.decisions.retry_budget import (
+    RetryBudget,
+    allows_retry,
+    record_request,
+    record_retry,
+)
+from comfreywind.entry.dispatcher import Dispatcher
+from comfreywind.entry.placement import Placement
+from comfreywind.entry.refusal_error import RefusalError
+from comfreywind.entry.request_run import RequestRun
+from comfreywind.entry.service_tasks import ServiceTasks
+from comfreywind.entry.target_answer import TargetAnswer
+from comfreywind.entry.target_call import TargetCall
+from comfreywind.entry.target_client import TargetClient
+from comfreywind.entry.target_health import TargetHealth
+from comfreywind.entry.unit_source import UnitSource
+from comfreywind.http.asgi_types import HeaderList
+
+RETRY_AFTER_S = 1.0
+CallResult = TargetAnswer | Attempt
+
+
+class TargetCaller:
+    """Places a request, calls the target and decides after each attempt what follows."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        targets: TargetClient,
+        health: TargetHealth,
+        units: UnitSource,
+        services: ServiceTasks,
+        clock: Clock,
+        entries_count: int,
+        buffer_limit_bytes: int,
+        silence_s: float,
+    ) -> None:
+        """Use the given parts; the connections to a target are divided among the entries."""
+        self._dispatcher = dispatcher
+        self._targets = targets
+        self._health = health
+        self._units = units
+        self._services = services
+        self._clock = clock
+        self._entries_count = entries_count
+        self._buffer_limit_bytes = buffer_limit_bytes
+        self._silence_s = silence_s
+        self._budget = RetryBudget()
+
+    async def call(self, run: RequestRun) -> TargetAnswer:
+        """Return the answer of a target; raise RefusalError when the request is given up."""
+        self._budget = record_request(self._budget, self._clock.read_monotonic_s())
+        while True:
+            placement = await self._acquire(run)
+            reply = await self._try_target(run, placement)
+            attempt = _describe(reply)
+            self._health.report(placement.target, placement.pool, counts_as_failure(attempt))
+            run.record(attempt, placement.target.name)
+            decision = self._decide(run, attempt)
+            if decision is RetryDecision.FINISH:
+                return await _conclude(run, reply, attempt, placement.target.name)
+            await self._prepare_retry(run, reply, decision)
+
+    async def _acquire(self, run: RequestRun) -> Placement:
+        try:
+            return await self._dispatcher.acquire(run.make_ticket())
+        except RefusalError as error:
+            raise RefusalError(run.restate(error.refusal)) from error
+
+    async def _try_target(self, run: RequestRun, placement: Placement) -> CallResult:
+        release = partial(self._dispatcher.release, placement)
+        session_left_s = self._units.read_session_left_s()
+        time_left_s = self._find_time_left_s(run)
+        if session_left_s <= 0 or time_left_s <= 0:
+            release()
+            raise RefusalError(run.restate(_refuse_start(session_left_s)))
+        run_for_s = min(run.pool.max_run_s, time_left_s)
+        call = TargetCall(
+            self._targets.find_connections(placement.target),
+            self._make_request(run, placement, min(session_left_s, run_for_s), run_for_s),
+            self._services,
+            max(1, run.pool.connections_per_vm // self._entries_count),
+            self._buffer_limit_bytes,
+            self._silence_s,
+            partial(self._take_repeat, placement.team) if run.request.idempotent else None,
+        )
+        run.call = call
+        self._health.start(placement.target)
+        try:
+            return await call.run(release, run_for_s)
+        finally:
+            self._health.finish(placement.target)
+
+    def _decide(self, run: RequestRun, attempt: Attempt) -> RetryDecision:
+        idempotent = run.request.idempotent
+        context = RetryContext(
+            idempotent=idempotent,
+            failed_targets=run.failures,
+            refusals=run.refusals,
+            time_left_s=self._find_time_left_s(run),
+            other_target_exists=self._has_other_target(run, attempt),
+            budget_left=allows_retry(self._budget, self._clock.read_monotonic_s()),
+        )
+        return decide_retry(attempt, context)
+
+    def _has_other_target(self, run: RequestRun, attempt: Attempt) -> bool:
+        if attempt.end is AttemptEnd.ANSWERED:
+            return False
+        excluded = run.list_excluded()
+        return self._health.has_other_target(run.pool.name, excluded, run.request.idempotent)
+
+    async def _prepare_retry(
+        self, run: RequestRun, reply: CallResult, decision: RetryDecision
+    ) -> None:
+        if isinstance(reply, TargetAnswer):
+            await reply.discard()
+        if decision is RetryDecision.RETRY_AFTER_PAUSE:
+            run.busy_target = ''
+            await trio.sleep(find_pause_s(run.refusals))
+        elif decision is RetryDecision.RETRY_SAME_TARGET:
+            run.failed_targets = frozenset()
+        if not run.busy_target and decision is not RetryDecision.RETRY_AFTER_PAUSE:
+            self._budget = record_retry(self._budget, self._clock.read_monotonic_s())
+
+    def _take_repeat(self, team: str) -> Callable[[], None] | None:
+        """Take a unit for a repeat over a new connection, if the budget and the team allow it."""
+        now_s = self._clock.read_monotonic_s()
+        if not allows_retry(self._budget, now_s) or not self._units.try_take(team):
+            return None
+        self._budget = record_retry(self._budget, now_s)
+        return partial(self._units.give_back, team)
+
+    def _make_request(
+        self, run: RequestRun, placement: Placement, start_within_s: float, run_for_s: float
+    ) -> httpcore.Request:
+        request = run.request
+        address = placement.target.address
+        now = self._clock.read_utc()
+        start_before = now + timedelta(seconds=start_within_s)
+        run_until = now + timedelta(seconds=run_for_s)
+        headers: HeaderList = [
+            (b'host', str(address).encode()),
+            (b'content-length', str(len(request.body)).encode()),
+            (b'x-request-id', request.request_id.encode()),
+            (b'comfreywind-team', request.team.encode()),
+            (b'comfreywind-start-before', f'{start_before.timestamp():.3f}'.encode()),
+            (b'comfreywind-run-until', f'{run_until.timestamp():.3f}'.encode()),
+            *request.headers,
+        ]
+        url = httpcore.URL(
+            scheme=b'http',
+            host=address.host.encode(),
+            port=address.port,
+            target=request.target_path,
+        )
+        return httpcore.Request(request.method, url, headers=headers, content=request.body)
+
+    def _find_time_left_s(self, run: RequestRun) -> float:
+        return run.request.deadline_s - self._clock.read_monotonic_s()
+
+
+def _describe(reply: CallResult) -> Attempt:
+    if isinstance(reply, Attempt):
+        return reply
+    if reply.says_not_run():
+        return Attempt(AttemptEnd.REFUSED)
+    return Attempt(AttemptEnd.ERROR_ANSWERED if reply.is_error() else AttemptEnd.ANSWERED)
+
+
+async def _conclude(
+    run: RequestRun, reply: CallResult, attempt: Attempt, target_name: str
+) -> TargetAnswer:
+    """Return the answer, which may be an error of the target; raise RefusalError without one."""
+    if isinstance(reply, Attempt):
+        raise RefusalError(run.make_refusal(attempt, target_name))
+    if attempt.end is AttemptEnd.REFUSED:
+        await reply.discard()
+        raise RefusalError(run.make_refusal(attempt, target_name))
+    return reply
+
+
+def _refuse_start(session_left_s: float) -> Refusal:
+    if session_left_s <= 0:
+        return Refusal(
+            RefusalReason.RULES_STALE,
+            'this entry may start no work now',
+            retry_after_s=RETRY_AFTER_S,
+        )
+    return Refusal(
+        RefusalReason.DEADLINE_IN_QUEUE,
+        'the deadline passed before the request was sent',
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/comfreywind/entry/target_client.py
+++ b/comfreywind/entry/target_client.py
@@ -1,29 +1,41 @@
-"""Connections to the targets."""
-
-import httpcore
+"""Connections to all targets."""
 
+from comfreywind.clock import Clock
+from comfreywind.entry.fleet_view import FleetView
+from comfreywind.entry.target_connections import KEEP_ALIVE_S, TargetConnections
 from comfreywind.platform.vm_entry import VmEntry
 
-KEEP_ALIVE_S = 5
-
 
 class TargetClient:
-    """One connection pool for each target address and incarnation."""
-
-    def __init__(self, connections_limit: int) -> None:
-        """Limit the connections to each target."""
-        self._connections_limit = connections_limit
-        self._pools: dict[tuple[str, str, int], httpcore.AsyncConnectionPool] = {}
-
-    def find_pool(self, target: VmEntry) -> httpcore.AsyncConnectionPool:
-        """Return the pool of the target, made when it is first needed."""
-        pool_key = (target.name, str(target.address), target.incarnation)
-        pool = self._pools.get(pool_key)
-        if pool is None:
-            pool = httpcore.AsyncConnectionPool(
-                max_connections=self._connections_limit,
-                max_keepalive_connections=self._connections_limit,
-                keepalive_expiry=KEEP_ALIVE_S,
-            )
-            self._pools[pool_key] = pool
-        return pool
+    """One set of connections for each target; a new incarnation gets a new set."""
+
+    def __init__(self, fleet_view: FleetView, clock: Clock, connect_timeout_s: float) -> None:
+        """Start without connections."""
+        self._fleet_view = fleet_view
+        self._clock = clock
+        self._connect_timeout_s = connect_timeout_s
+        self._targets: dict[str, TargetConnections] = {}
+
+    def find_connections(self, target: VmEntry) -> TargetConnections:
+        """Return the connections to the target."""
+        known = self._targets.get(target.name)
+        if known is not None and _is_same(known.target, target):
+            return known
+        if known is not None:
+            known.retire_all()
+        connections = TargetConnections(target, self._connect_timeout_s, self._clock)
+        self._targets[target.name] = connections
+        return connections
+
+    def close_unused(self) -> None:
+        """Close connections that have been idle for long and those to VMs that are gone."""
+        listed = {vm.name for vm in self._fleet_view.list_vms()}
+        for name in list(self._targets):
+            if name in listed:
+                self._targets[name].close_idle(KEEP_ALIVE_S)
+            else:
+                self._targets.pop(name).retire_all()
+
+
+def _is_same(first: VmEntry, second: VmEntry) -> bool:
+    return first.address == second.address and first.incarnation == second.incarnation
--- /dev/null
+++ b/comfreywind/entry/target_connections.py
@@ -0,0 +1,108 @@
+"""The connections of this entry to one target."""
+
+from collections import deque
+
+import httpcore
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.entry.target_connection import TargetConnection
+from comfreywind.entry.target_stream import TargetStream
+from comfreywind.errors import ComfreywindError
+from comfreywind.platform.vm_entry import VmEntry
+
+KEEP_ALIVE_S = 5
+
+
+class TargetUnreachableError(ComfreywindError):
+    """No connection to the target could be opened; no byte of a request was sent."""
+
+
+class TargetConnections:
+    """Opens, keeps and closes connections; the newest idle one is used first."""
+
+    def __init__(self, target: VmEntry, connect_timeout_s: float, clock: Clock) -> None:
+        """Start without connections."""
+        self.target = target
+        self._connect_timeout_s = connect_timeout_s
+        self._clock = clock
+        self._origin = httpcore.Origin(b'http', target.address.host.encode(), target.address.port)
+        self._idle: deque[TargetConnection] = deque()
+        self._waiting = trio.lowlevel.ParkingLot()
+        self._generation = 0
+        self._open_count = 0
+
+    async def lease(self, limit: int, fresh: bool = False) -> TargetConnection:
+        """Return a connection, a new one for `fresh`; wait while `limit` are open.
+
+        Raises TargetUnreachableError.
+        """
+        while True:
+            connection = None if fresh else self._pop_idle()
+            if connection is not None:
+                connection.reused = True
+                return connection
+            if self._open_count >= limit and fresh and self._idle:
+                self.close(self._idle.popleft())
+            if self._open_count < limit:
+                return await self._open()
+            await self._waiting.park()
+
+    def keep(self, connection: TargetConnection) -> None:
+        """Take back a connection whose exchange is complete."""
+        if connection.generation < self._generation:
+            self.close(connection)
+            return
+        connection.idle_since_s = self._clock.read_monotonic_s()
+        self._idle.append(connection)
+        self._waiting.unpark()
+
+    def close(self, connection: TargetConnection) -> None:
+        """Close a leased connection."""
+        connection.stream.close()
+        self._open_count -= 1
+        self._waiting.unpark()
+
+    def retire(self, silent: TargetConnection) -> None:
+        """Close the idle connections that are as old as a silent one; keep none of that age."""
+        if silent.generation < self._generation:
+            return
+        self.retire_all()
+
+    def retire_all(self) -> None:
+        """Close the idle connections; those in use are closed when their exchange ends."""
+        self._generation += 1
+        self.close_idle()
+
+    def close_idle(self, older_than_s: float = 0) -> None:
+        """Close the connections that have been idle for longer than that."""
+        idle_since_s = self._clock.read_monotonic_s() - older_than_s
+        while self._idle and self._idle[0].idle_since_s <= idle_since_s:
+            self.close(self._idle.popleft())
+
+    def _pop_idle(self) -> TargetConnection | None:
+        oldest_s = self._clock.read_monotonic_s() - KEEP_ALIVE_S
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.idle_since_s >= oldest_s and connection.stream.is_usable():
+                return connection
+            self.close(connection)
+        return None
+
+    async def _open(self) -> TargetConnection:
+        self._open_count += 1
+        address = self.target.address
+        try:
+            with trio.fail_after(self._connect_timeout_s):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            self._cancel_open()
+            raise TargetUnreachableError(f"{address} can't be reached: {error!r}") from error
+        except trio.Cancelled:
+            self._cancel_open()
+            raise
+        return TargetConnection(TargetStream(stream), self._origin, self._generation)
+
+    def _cancel_open(self) -> None:
+        self._open_count -= 1
+        self._waiting.unpark()
--- a/comfreywind/entry/ticket.py
+++ b/comfreywind/entry/ticket.py
@@ -14,3 +14,4 @@
     team: str
     deadline_s: float
     excluded_targets: frozenset[str] = frozenset()
+    idempotent: bool = False
