--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -149,7 +149,12 @@
         processes = []
         for process_index in range(self.plan.target_processes):
             executors = [
-                {'name': vm['name'], 'address': vm['address'], 'slots': self.plan.slots}
+                {
+                    'name': vm['name'],
+                    'address': vm['address'],
+                    'slots': self.plan.slots,
+                    'connections': self.plan.connections,
+                }
                 for vm in self.vms[process_index :: self.plan.target_processes]
             ]
             name = f'target-{process_index}'
--- a/bench/fleet_plan.py
+++ b/bench/fleet_plan.py
@@ -27,6 +27,7 @@
     entries_count: int = 3
     executors_by_pool: dict[str, int] = field(default_factory=lambda: {'crossings': 4})
     slots: int = 8
+    connections: int = 64
     vms_per_rack: int = 4
     data_centres: tuple[str, ...] = ('dc-1', 'dc-2', 'dc-3')
     bundle: dict[str, Any] = field(default_factory=lambda: DEFAULT_BUNDLE)
--- a/comfreywind/entry/caller_app.py
+++ b/comfreywind/entry/caller_app.py
@@ -146,6 +146,9 @@
         headers: HeaderList = scope['headers']
         wait_s = read_wait_s(headers, self._default_deadline_s)
         deadline_s = self._clock.read_monotonic_s() + wait_s
+        if not wait_s:
+            detail = 'the caller is not willing to wait'
+            raise RefusalError(Refusal(RefusalReason.DEADLINE_IN_QUEUE, detail))
         idempotency_key = read_idempotency_key(headers)
         return CallerRequest(
             request_id=request_id,
--- a/comfreywind/entry/caller_body.py
+++ b/comfreywind/entry/caller_body.py
@@ -6,8 +6,8 @@
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.http.asgi_body import BodyTooLargeError, read_body
 from comfreywind.http.asgi_types import Message, Receive
+from comfreywind.http.disconnect import DISCONNECT, cancel_on_disconnect
 
-DISCONNECT = 'http.disconnect'
 # A caller that goes on sending after its refusal gets this long before the connection is closed.
 DISCARD_S = 2.0
 
@@ -37,10 +37,7 @@
 
     async def cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the scope when the caller closes its connection."""
-        message = await self._receive_part()
-        while message['type'] != DISCONNECT:
-            message = await self._receive_part()
-        scope.cancel()
+        await cancel_on_disconnect(self._receive, scope)
 
     async def discard_rest(self) -> None:
         """Read the rest of the body and drop it, within DISCARD_S."""
--- a/comfreywind/stand_ins/executor_app.py
+++ b/comfreywind/stand_ins/executor_app.py
@@ -9,12 +9,14 @@
 from comfreywind.http.asgi_body import read_body, read_json
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import HeaderList, Receive, Scope, Send
+from comfreywind.http.disconnect import cancel_on_disconnect, wait_for_disconnect
 from comfreywind.settings.target_stand_in import ExecutorSettings
 from comfreywind.stand_ins.connection_silencer import ConnectionSilencer
 from comfreywind.stand_ins.faults import TargetFaults
 from comfreywind.stand_ins.run_log import RunLog
 
 BODY_LIMIT_BYTES = 16_777_216
+SILENT_AFTER_CLOSE_S = 15
 NOT_RUN: HeaderList = [(b'comfreywind-outcome', b'not-run')]
 
 
@@ -53,7 +55,8 @@
 
     async def _serve_work(self, scope: Scope, receive: Receive, send: Send) -> None:
         if self._silencer.is_silent(scope) or self._faults.freeze:
-            await trio.sleep_forever()
+            await _stay_silent(receive)
+            return
         body = await read_body(receive, BODY_LIMIT_BYTES)
         headers = {name.decode(): header.decode() for name, header in scope['headers']}
         refusal = self._find_refusal(headers)
@@ -63,7 +66,7 @@
         if self._faults.fail_all:
             await send_json(send, 500, {'error': 'this executor fails every task'})
             return
-        await self._run_task(scope, headers, body, send)
+        await self._run_task(scope, headers, body, receive, send)
 
     def _find_refusal(self, headers: dict[str, str]) -> str | None:
         if self._busy_slots >= self._settings.slots:
@@ -74,7 +77,7 @@
         return None
 
     async def _run_task(
-        self, scope: Scope, headers: dict[str, str], body: bytes, send: Send
+        self, scope: Scope, headers: dict[str, str], body: bytes, receive: Receive, send: Send
     ) -> None:
         request_id = headers.get('x-request-id', '')
         team = headers.get('comfreywind-team', '')
@@ -86,15 +89,18 @@
             lease_s = max(0, float(run_until) - self._clock.read_utc().timestamp())
         self._busy_slots += 1
         self._run_log.start(request_id, team)
+        connected = False
         try:
             with trio.move_on_after(lease_s) as lease:
-                await trio.sleep(duration_s)
+                connected = await _sleep_while_connected(duration_s, receive)
         finally:
             self._busy_slots -= 1
             self._run_log.finish(team)
         if lease.cancelled_caught:
             await send_json(send, 500, {'error': 'the task was stopped when its lease ended'})
             return
+        if not connected:
+            return
         answer = {
             'executor': self._settings.name,
             'request_id': request_id,
@@ -109,6 +115,7 @@
     ) -> None:
         padding_bytes = int(query.get('bytes', ['0'])[0])
         chunk_count = int(query.get('chunks', ['1'])[0])
+        pause_s = float(query.get('pause_s', ['0'])[0])
         text = b'\n'.join((json.dumps(answer).encode(), b'x' * padding_bytes))
         headers: HeaderList = [(b'content-type', b'application/json')]
         if chunk_count <= 1:
@@ -122,4 +129,22 @@
         for start in range(0, len(text), chunk_bytes):
             chunk = text[start : start + chunk_bytes]
             await send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
+            await trio.sleep(pause_s)
         await send({'type': 'http.response.body', 'body': b''})
+
+
+async def _sleep_while_connected(duration_s: float, receive: Receive) -> bool:
+    """Sleep and return True, or return False as soon as the connection is closed."""
+    connected = False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cancel_on_disconnect, receive, nursery.cancel_scope)
+        await trio.sleep(duration_s)
+        connected = True
+        nursery.cancel_scope.cancel()
+    return connected
+
+
+async def _stay_silent(receive: Receive) -> None:
+    """Answer nothing, and don't close for some time after the other side has closed."""
+    await wait_for_disconnect(receive)
+    await trio.sleep(SILENT_AFTER_CLOSE_S)
--- a/comfreywind/stand_ins/run_log.py
+++ b/comfreywind/stand_ins/run_log.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from comfreywind.stand_ins.connection_log import ConnectionLog
+
 
 @dataclass(slots=True)
 class RunLog:
@@ -11,6 +13,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     running: Counter[str] = field(default_factory=Counter)
     highest_running: Counter[str] = field(default_factory=Counter)
+    connections: ConnectionLog = field(default_factory=ConnectionLog)
 
     def start(self, request_id: str, team: str) -> None:
         """Count the start of a run."""
@@ -28,4 +31,7 @@
             'runs': dict(self.runs),
             'running': dict(self.running),
             'highest_running': dict(self.highest_running),
+            'connections': dict(self.connections.current),
+            'highest_connections': dict(self.connections.highest),
+            'refused_connections': dict(self.connections.refused),
         }
--- a/comfreywind/stand_ins/run_target.py
+++ b/comfreywind/stand_ins/run_target.py
@@ -1,15 +1,13 @@
 """Runs the target stand-in: all its executors in one process."""
 
-from functools import partial
-
 import trio
 
 from comfreywind.clock import SystemClock
-from comfreywind.http.server import serve_app
 from comfreywind.logs import configure_logs
 from comfreywind.settings.target_stand_in import TargetStandInSettings
 from comfreywind.signals import set_on_termination
 from comfreywind.stand_ins.executor_app import ExecutorApp
+from comfreywind.stand_ins.limited_server import LimitedServer
 from comfreywind.stand_ins.run_log import RunLog
 
 GRACEFUL_TIMEOUT_S = 10
@@ -29,7 +27,8 @@
         async with trio.open_nursery() as servers:
             for executor in settings.executors:
                 app = ExecutorApp(executor, run_log, clock)
-                servers.start_soon(
-                    partial(serve_app, app, executor.address, shutdown, GRACEFUL_TIMEOUT_S)
+                server = LimitedServer(
+                    app, executor.name, executor.connections, run_log.connections
                 )
+                servers.start_soon(server.serve, executor.address, shutdown, GRACEFUL_TIMEOUT_S)
         nursery.cancel_scope.cancel()
