--- a/comfreywind/entry/fleet_view.py
+++ b/comfreywind/entry/fleet_view.py
@@ -1,34 +1,59 @@
 """The VMs that this entry knows of and the pool each one belongs to."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from comfreywind.decisions.set_digest import exchange_row
 from comfreywind.platform.row import Row
 from comfreywind.platform.vm_entry import VmEntry
 
 STATE_ACTIVE = 'active'
+STATE_SUSPECT = 'suspect'
+STATE_UNKNOWN = 'unknown'
 
 
 class FleetView:
     """Joins the platform's VM list with the rows of the table `vms`.
 
-    The row decides the pool; a VM without a row belongs to the pool on the list.
+    The row decides the pool. With `requires_row`, a VM without a row takes no work, because two
+    entries could read different pools from the list while it changes; else such a VM belongs to
+    the pool on the list.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, requires_row: bool = False) -> None:
         """Start without any VM."""
+        self._requires_row = requires_row
         self._listed: dict[str, VmEntry] = {}
         self._rows: dict[str, Row] = {}
+        self.rows_digest = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, receive_change: Callable[[], None]) -> None:
+        """Call the function after each change of the list or of a row."""
+        self._listeners.append(receive_change)
 
     def apply_vm_list(self, vms: Iterable[VmEntry]) -> None:
         """Take a newer list from the platform."""
-        self._listed = {vm.name: vm for vm in vms}
+        listed = {vm.name: vm for vm in vms}
+        if listed != self._listed:
+            self._listed = listed
+            self._tell_listeners()
 
     def apply_vm_row(self, row: Row) -> None:
-        """Take a newer row of the table `vms`."""
-        if row.value is None:
-            self._rows.pop(row.key, None)
+        """Take a newer row of the table `vms`; an older version never replaces a newer one.
+
+        A deleted row is kept with its version, so that an older state of it is not taken again.
+        """
+        known = self._rows.get(row.key)
+        known_version = known.version if known else 0
+        if row.version <= known_version:
             return
         self._rows[row.key] = row
+        self.rows_digest = exchange_row(self.rows_digest, row.key, known_version, row.version)
+        self._tell_listeners()
+
+    def list_rows(self) -> list[Row]:
+        """Return all rows of the table `vms`, those of deleted rows with the value None."""
+        return list(self._rows.values())
 
     def list_vms(self) -> list[VmEntry]:
         """Return all VMs on the platform's list."""
@@ -36,23 +61,48 @@
 
     def read_row(self, name: str) -> Row | None:
         """Return the VM's row in the table `vms`, if it has one."""
-        return self._rows.get(name)
+        row = self._rows.get(name)
+        return None if row is None or row.value is None else row
 
     def find_pool(self, vm: VmEntry) -> str:
         """Return the pool that the VM belongs to."""
-        row = self._rows.get(vm.name)
+        row = self.read_row(vm.name)
         return vm.pool if row is None or row.value is None else str(row.value['pool'])
 
     def list_usable(self, pool: str) -> list[VmEntry]:
-        """Return the VMs of the pool that take new work."""
-        return [
-            vm
-            for vm in self._listed.values()
-            if self.find_pool(vm) == pool and self._takes_work(vm)
-        ]
-
-    def _takes_work(self, vm: VmEntry) -> bool:
-        if vm.state != 'live':
-            return False
-        row = self._rows.get(vm.name)
-        return row is None or row.value is None or row.value['state'] == STATE_ACTIVE
+        """Return the VMs of the pool that take new work.
+
+        These are the active ones. When more VMs are suspect than active, the suspect ones that are
+        still listed as live are used too, because then the observations of the entry that holds
+        the control lease are more likely wrong than most of the pool (as the panic threshold of
+        outlier ejection).
+        """
+        return _select_usable(
+            [(vm, self._read_state(vm)) for vm in self._list_live() if self.find_pool(vm) == pool]
+        )
+
+    def group_usable(self) -> dict[str, list[VmEntry]]:
+        """Return the VMs that take new work by pool, chosen as `list_usable` does."""
+        groups: dict[str, list[tuple[VmEntry, str]]] = {}
+        for vm in self._list_live():
+            groups.setdefault(self.find_pool(vm), []).append((vm, self._read_state(vm)))
+        return {pool: _select_usable(vms) for pool, vms in groups.items()}
+
+    def _tell_listeners(self) -> None:
+        for receive_change in self._listeners:
+            receive_change()
+
+    def _list_live(self) -> list[VmEntry]:
+        return [vm for vm in self._listed.values() if vm.state == 'live']
+
+    def _read_state(self, vm: VmEntry) -> str:
+        row = self.read_row(vm.name)
+        if row is not None and row.value is not None:
+            return str(row.value['state'])
+        return STATE_UNKNOWN if self._requires_row else STATE_ACTIVE
+
+
+def _select_usable(vms: list[tuple[VmEntry, str]]) -> list[VmEntry]:
+    active = [vm for vm, state in vms if state == STATE_ACTIVE]
+    suspect = [vm for vm, state in vms if state == STATE_SUSPECT]
+    return active + suspect if len(suspect) > len(active) else active
--- a/comfreywind/entry/request_run.py
+++ b/comfreywind/entry/request_run.py
@@ -4,6 +4,7 @@
 from comfreywind.decisions.attempt import Attempt, AttemptEnd, find_outcome
 from comfreywind.decisions.refusal import Outcome, Refusal, RefusalReason
 from comfreywind.entry.caller_request import CallerRequest
+from comfreywind.entry.placement import Placement
 from comfreywind.entry.target_call import TargetCall
 from comfreywind.entry.ticket import Ticket
 
@@ -20,10 +21,9 @@
         self.request = request
         self.queue = queue
         self.pool = pool
-        self.refusals = 0
         self.failures = 0
         self.failed_targets: frozenset[str] = frozenset()
-        self.busy_target = ''
+        self.refused_at: Placement | None = None
         self.call: TargetCall | None = None
         self.answered = False
         self._has_claim = has_claim
@@ -36,26 +36,21 @@
             self.queue,
             self.request.team,
             self.request.deadline_s,
-            self.list_excluded(),
+            self.failed_targets,
             self.request.idempotent,
         )
 
-    def list_excluded(self) -> frozenset[str]:
-        """Return the targets that should not get the next attempt."""
-        return self.failed_targets | {self.busy_target} if self.busy_target else self.failed_targets
-
-    def record(self, attempt: Attempt, target_name: str) -> None:
+    def record(self, attempt: Attempt, placement: Placement) -> None:
         """Take the result of an attempt."""
         self.call = None
-        self.busy_target = ''
+        self.refused_at = None
         if find_outcome(attempt) is not Outcome.NOT_RUN:
             self._may_have_run = True
         if attempt.end is AttemptEnd.REFUSED:
-            self.refusals += 1
-            self.busy_target = target_name
+            self.refused_at = placement
         elif attempt.end is not AttemptEnd.ANSWERED:
             self.failures += 1
-            self.failed_targets |= {target_name}
+            self.failed_targets |= {placement.target.name}
 
     def find_outcome(self) -> Outcome:
         """Return what is known of the request now."""
--- a/comfreywind/entry/target_answer.py
+++ b/comfreywind/entry/target_answer.py
@@ -35,8 +35,9 @@
 
     def says_not_run(self) -> bool:
         """Return whether the target states that it has not run the request."""
-        outcome = find_header(self.headers, b'comfreywind-outcome')
-        return self.status == STATUS_UNAVAILABLE and outcome == Outcome.NOT_RUN.value
+        if self.status != STATUS_UNAVAILABLE or not self.complete:
+            return False
+        return find_header(self.headers, b'comfreywind-outcome') == Outcome.NOT_RUN.value
 
     def is_error(self) -> bool:
         """Return whether the target states a failure of its own."""
@@ -61,10 +62,11 @@
     body: Any = response.stream
     chunks: AsyncGenerator[bytes, None] = aiter(body)
     head, complete = await _read_head(chunks, buffer_limit_bytes)
+    answer = TargetAnswer(response.status, headers, head, complete, chunks, work)
     if complete:
         await body.aclose()
-        work.end(complete=True)
-    return TargetAnswer(response.status, headers, head, complete, chunks, work)
+        work.end(complete=True, keeps_place=answer.says_not_run())
+    return answer
 
 
 async def _read_head(chunks: AsyncIterator[bytes], limit_bytes: int) -> tuple[bytes, bool]:
--- a/comfreywind/entry/target_call.py
+++ b/comfreywind/entry/target_call.py
@@ -148,9 +148,13 @@
             raise
         connection.stream.start_exchange(self._silence_s, None)
         try:
-            return await self._exchange(self._make_work(connection, release, run_until_s))
+            answer = await self._exchange(self._make_work(connection, release, run_until_s))
         except EXCHANGE_ERRORS:
             return None
+        if answer.says_not_run():
+            release()
+            return None
+        return answer
 
     def _make_work(
         self, connection: TargetConnection, release: Release, run_until_s: float
--- a/comfreywind/entry/target_caller.py
+++ b/comfreywind/entry/target_caller.py
@@ -5,12 +5,10 @@
 from functools import partial
 
 import httpcore
-import trio
-
 from comfreywind.clock import Clock
 from comfreywind.decisions.attempt import Attempt, AttemptEnd, counts_as_failure
 from comfreywind.decisions.refusal import Refusal, RefusalReason
-from comfreywind.decisions.retry import RetryContext, RetryDecision, decide_retry, find_pause_s
+from comfreywind.decisions.retry import RetryContext, RetryDecision, decide_retry
 from comfreywind.decisions.retry_budget import (
     RetryBudget,
     allows_retry,
@@ -68,15 +66,19 @@
             reply = await self._try_target(run, placement)
             attempt = _describe(reply)
             self._health.report(placement.target, placement.pool, counts_as_failure(attempt))
-            run.record(attempt, placement.target.name)
+            run.record(attempt, placement)
             decision = self._decide(run, attempt)
             if decision is RetryDecision.FINISH:
-                return await _conclude(run, reply, attempt, placement.target.name)
+                return self._conclude(run, reply, attempt, placement)
             await self._prepare_retry(run, reply, decision)
 
     async def _acquire(self, run: RequestRun) -> Placement:
+        ticket = run.make_ticket()
+        acquire = self._dispatcher.acquire
+        if run.refused_at is not None:
+            acquire = partial(self._dispatcher.reacquire, placement=run.refused_at)
         try:
-            return await self._dispatcher.acquire(run.make_ticket())
+            return await acquire(ticket)
         except RefusalError as error:
             raise RefusalError(run.restate(error.refusal)) from error
 
@@ -108,8 +110,7 @@
         idempotent = run.request.idempotent
         context = RetryContext(
             idempotent=idempotent,
-            failed_targets=run.failures,
-            refusals=run.refusals,
+            failures=run.failures,
             time_left_s=self._find_time_left_s(run),
             other_target_exists=self._has_other_target(run, attempt),
             budget_left=allows_retry(self._budget, self._clock.read_monotonic_s()),
@@ -119,21 +120,29 @@
     def _has_other_target(self, run: RequestRun, attempt: Attempt) -> bool:
         if attempt.end is AttemptEnd.ANSWERED:
             return False
-        excluded = run.list_excluded()
-        return self._health.has_other_target(run.pool.name, excluded, run.request.idempotent)
+        idempotent = run.request.idempotent
+        return self._health.has_other_target(run.pool.name, run.failed_targets, idempotent)
 
     async def _prepare_retry(
         self, run: RequestRun, reply: CallResult, decision: RetryDecision
     ) -> None:
+        if decision is RetryDecision.QUEUE_AGAIN:
+            return
         if isinstance(reply, TargetAnswer):
             await reply.discard()
-        if decision is RetryDecision.RETRY_AFTER_PAUSE:
-            run.busy_target = ''
-            await trio.sleep(find_pause_s(run.refusals))
-        elif decision is RetryDecision.RETRY_SAME_TARGET:
+        if decision is RetryDecision.RETRY_SAME_TARGET:
             run.failed_targets = frozenset()
-        if not run.busy_target and decision is not RetryDecision.RETRY_AFTER_PAUSE:
-            self._budget = record_retry(self._budget, self._clock.read_monotonic_s())
+        self._budget = record_retry(self._budget, self._clock.read_monotonic_s())
+
+    def _conclude(
+        self, run: RequestRun, reply: CallResult, attempt: Attempt, placement: Placement
+    ) -> TargetAnswer:
+        """Return the answer, which may be an error of the target; raise RefusalError without."""
+        if attempt.end is AttemptEnd.REFUSED:
+            self._dispatcher.release(placement)
+        elif isinstance(reply, TargetAnswer):
+            return reply
+        raise RefusalError(run.make_refusal(attempt, placement.target.name))
 
     def _take_repeat(self, team: str) -> Callable[[], None] | None:
         """Take a unit for a repeat over a new connection, if the budget and the team allow it."""
@@ -141,7 +150,11 @@
         if not allows_retry(self._budget, now_s) or not self._units.try_take(team):
             return None
         self._budget = record_retry(self._budget, now_s)
-        return partial(self._units.give_back, team)
+        return partial(self._give_back, team)
+
+    def _give_back(self, team: str) -> None:
+        self._units.give_back(team)
+        self._dispatcher.wake_team(team)
 
     def _make_request(
         self, run: RequestRun, placement: Placement, start_within_s: float, run_for_s: float
@@ -180,18 +193,6 @@
     return Attempt(AttemptEnd.ERROR_ANSWERED if reply.is_error() else AttemptEnd.ANSWERED)
 
 
-async def _conclude(
-    run: RequestRun, reply: CallResult, attempt: Attempt, target_name: str
-) -> TargetAnswer:
-    """Return the answer, which may be an error of the target; raise RefusalError without one."""
-    if isinstance(reply, Attempt):
-        raise RefusalError(run.make_refusal(attempt, target_name))
-    if attempt.end is AttemptEnd.REFUSED:
-        await reply.discard()
-        raise RefusalError(run.make_refusal(attempt, target_name))
-    return reply
-
-
 def _refuse_start(session_left_s: float) -> Refusal:
     if session_left_s <= 0:
         return Refusal(
--- a/comfreywind/entry/target_work.py
+++ b/comfreywind/entry/target_work.py
@@ -37,8 +37,11 @@
         self._services = services
         self._ended = False
 
-    def end(self, complete: bool = False) -> None:
-        """Give back what is held; unless the answer is complete, once the target has stopped."""
+    def end(self, complete: bool = False, keeps_place: bool = False) -> None:
+        """Give back what is held; unless the answer is complete, once the target has stopped.
+
+        After a refusal the place stays with the caller of this, who gives it back as not used.
+        """
         if self._ended:
             return
         self._ended = True
@@ -50,7 +53,8 @@
             self._connections.keep(self.connection)
         else:
             self._connections.close(self.connection)
-        self._release()
+        if not keeps_place:
+            self._release()
 
     async def _wait_for_target(self) -> None:
         try:
--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -49,6 +49,10 @@
         self.conflicts = conflicts
 
 
+class VmReplacedError(PlatformError):
+    """The VM does not have the incarnation that a call named; nothing was done."""
+
+
 class ObjectExistsError(PlatformError):
     """An object of that name is in the store already."""
 
@@ -57,5 +61,11 @@
     """The store has no object of that name."""
 
 
+class ListenError(ComfreywindError):
+    """An address can't be listened on, for example because it is in use."""
+
+    exit_status = ExitStatus.LISTEN_ERROR
+
+
 class PeerError(ComfreywindError):
     """A peer stream failed or carried a frame that can't be read."""
--- a/comfreywind/http/server.py
+++ b/comfreywind/http/server.py
@@ -3,15 +3,18 @@
 from functools import partial
 
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.worker_context import WorkerContext
 
 from comfreywind.http.asgi_types import AsgiApp, Receive, Scope, Send
+from comfreywind.http.connection_gate import ConnectionGate, OpenGate
+from comfreywind.http.connection_server import ConnectionServer
+from comfreywind.listening import open_listening_socket
 from comfreywind.settings.address import Address
 
 KEEP_ALIVE_S = 75
 HEADER_LIMIT_BYTES = 32_768
-REQUEST_READ_TIMEOUT_S = 30
 
 
 async def serve_app(
@@ -19,36 +22,55 @@
     address: Address,
     shutdown: trio.Event,
     graceful_timeout_s: float = 30,
-    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+    gate: ConnectionGate | None = None,
 ) -> None:
-    """Serve the app until `shutdown` is set, then finish requests within the graceful timeout."""
+    """Serve the app until `shutdown` is set, then finish requests within the graceful timeout.
+
+    Connections that the gate refuses are closed at once. Raises ListenError when the address can't
+    be listened on.
+    """
     config = Config()
-    config.bind = [str(address)]
     config.loglevel = 'WARNING'
     config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = graceful_timeout_s
     config.h11_max_incomplete_size = HEADER_LIMIT_BYTES
     config.include_server_header = False
-    config.alpn_protocols = ['http/1.1']
-    run_server = partial(serve, shutdown_trigger=shutdown.wait, mode='asgi')
-    await run_server(_add_lifespan(app), config, task_status=task_status)  # type: ignore[arg-type]
+    context = WorkerContext(None)
+    listener = trio.SocketListener(trio.socket.from_stdlib_socket(open_listening_socket(address)))
+    serve_stream = partial(
+        _serve_stream, _serve_only_http(app), config, context, gate or OpenGate()
+    )
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(trio.serve_listeners, serve_stream, [listener], handler_nursery=connections)
+            )
+            await shutdown.wait()
+            accepting.cancel_scope.cancel()
+        await context.terminated.set()
+        connections.cancel_scope.deadline = trio.current_time() + graceful_timeout_s
+
 
+async def _serve_stream(
+    app: AsgiApp,
+    config: Config,
+    context: WorkerContext,
+    gate: ConnectionGate,
+    stream: trio.SocketStream,
+) -> None:
+    if not gate.open():
+        await stream.aclose()
+        return
+    try:
+        await ConnectionServer(ASGIWrapper(app), config, context, stream)  # type: ignore[arg-type]
+    finally:
+        gate.close()
 
-def _add_lifespan(app: AsgiApp) -> AsgiApp:
-    """Return an app that answers the lifespan messages and leaves requests to `app`."""
+
+def _serve_only_http(app: AsgiApp) -> AsgiApp:
+    """Return an app that leaves websockets unanswered, which the server then refuses."""
 
     async def serve_scope(scope: Scope, receive: Receive, send: Send) -> None:
         if scope['type'] == 'http':
             await app(scope, receive, send)
-        elif scope['type'] == 'lifespan':
-            await _serve_lifespan(receive, send)
 
     return serve_scope
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({'type': f'{message["type"]}.complete'})
-        if message['type'] == 'lifespan.shutdown':
-            return
--- a/comfreywind/stand_ins/executor_app.py
+++ b/comfreywind/stand_ins/executor_app.py
@@ -1,6 +1,8 @@
 """One executor of the target stand-in: an HTTP server with a fixed number of slots."""
 
 import json
+from collections.abc import Awaitable, Callable
+from functools import partial
 from urllib.parse import parse_qs
 
 import trio
@@ -24,6 +26,10 @@
     """Ends a response in the middle of its body."""
 
 
+class RebootError(Exception):
+    """Ends a request because the executor reboots."""
+
+
 class ExecutorApp:
     """Runs `/work` in a slot for the asked time and answers with the asked number of bytes."""
 
@@ -34,6 +40,8 @@
         self._clock = clock
         self._busy_slots = 0
         self._faults = TargetFaults()
+        self._rebooting_until_s = clock.read_monotonic_s()
+        self._task_scopes: set[trio.CancelScope] = set()
         self._silencer = ConnectionSilencer()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -44,6 +52,9 @@
         if scope['path'] == '/stand-in/faults':
             await self._put_faults(receive, send)
             return
+        if scope['path'] == '/stand-in/reboot':
+            await self._reboot(receive, send)
+            return
         await self._serve_work(scope, receive, send)
 
     async def _put_faults(self, receive: Receive, send: Send) -> None:
@@ -53,10 +64,23 @@
             self._silencer.silence_open()
         await send_json(send, 200, self._faults.model_dump())
 
+    async def _reboot(self, receive: Receive, send: Send) -> None:
+        """Interrupt all tasks and run none for the asked time."""
+        document = await read_json(receive, BODY_LIMIT_BYTES)
+        self._rebooting_until_s = self._clock.read_monotonic_s() + float(document['duration_s'])
+        interrupted_count = len(self._task_scopes)
+        self._run_log.interrupted_count += interrupted_count
+        for scope in self._task_scopes:
+            scope.cancel()
+        await send_json(send, 200, {'interrupted': interrupted_count})
+
     async def _serve_work(self, scope: Scope, receive: Receive, send: Send) -> None:
         if self._silencer.is_silent(scope) or self._faults.freeze:
             await _stay_silent(receive)
             return
+        if self._clock.read_monotonic_s() < self._rebooting_until_s:
+            self._run_log.received_while_rebooting_count += 1
+            raise RebootError('the executor reboots')
         body = await read_body(receive, BODY_LIMIT_BYTES)
         headers = {name.decode(): header.decode() for name, header in scope['headers']}
         refusal = self._find_refusal(headers)
@@ -87,15 +111,12 @@
         lease_s = float('inf')
         if run_until:
             lease_s = max(0, float(run_until) - self._clock.read_utc().timestamp())
-        self._busy_slots += 1
-        self._run_log.start(request_id, team)
-        connected = False
-        try:
-            with trio.move_on_after(lease_s) as lease:
-                connected = await _sleep_while_connected(duration_s, receive)
-        finally:
-            self._busy_slots -= 1
-            self._run_log.finish(team)
+        task = partial(_sleep_while_connected, duration_s, receive)
+        connected = True
+        with trio.move_on_after(lease_s) as lease, trio.CancelScope() as reboot:
+            connected = await self._hold_slot(request_id, team, task, reboot)
+        if reboot.cancelled_caught:
+            raise RebootError('a reboot interrupted the task')
         if lease.cancelled_caught:
             await send_json(send, 500, {'error': 'the task was stopped when its lease ended'})
             return
@@ -110,6 +131,26 @@
         }
         await self._send_answer(answer, query, send)
 
+    async def _hold_slot(
+        self,
+        request_id: str,
+        team: str,
+        run_task: Callable[[], Awaitable[bool]],
+        reboot: trio.CancelScope,
+    ) -> bool:
+        self._task_scopes.add(reboot)
+        self._busy_slots += 1
+        self._run_log.start(request_id, team)
+        try:
+            return await run_task()
+        finally:
+            self._leave_slot(team, reboot)
+
+    def _leave_slot(self, team: str, reboot: trio.CancelScope) -> None:
+        self._run_log.finish(team)
+        self._busy_slots -= 1
+        self._task_scopes.discard(reboot)
+
     async def _send_answer(
         self, answer: dict[str, object], query: dict[str, list[str]], send: Send
     ) -> None:
