Close the caller's connection after every answer that ends it

The server reports a disconnect while it still handles the last part of an answer. The task that watches for disconnects then cancelled the sending, and the connection stayed open after a whole answer of 16 MB with Connection: close. Sending is now shielded.

--- a/comfreywind/entry/caller_app.py
+++ b/comfreywind/entry/caller_app.py
@@ -4,6 +4,7 @@
 import logging
 import math
 import uuid
+from functools import partial
 
 import trio
 
@@ -113,10 +114,11 @@
     ) -> None:
         """Forward until the end or until the caller disconnects."""
         failure: RefusalError | AnswerCutError | None = None
+        shielded_send = partial(_send_shielded, send)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(body.cancel_on_disconnect, nursery.cancel_scope)
             try:
-                await self._forwarder.forward(request, queue, pool, send)
+                await self._forwarder.forward(request, queue, pool, shielded_send)
             except (RefusalError, AnswerCutError) as error:
                 failure = error
             nursery.cancel_scope.cancel()
@@ -183,6 +185,16 @@
         )
 
 
+async def _send_shielded(send: Send, message: Message) -> None:
+    """Send a part of the answer and don't let the end of the request cancel it.
+
+    The server reports a disconnect while it handles the last part. Cancelled then, it would leave
+    the connection open.
+    """
+    with trio.CancelScope(shield=True):
+        await send(message)
+
+
 async def send_refusal(send: Send, refusal: Refusal, request_id: str, body: CallerBody) -> None:
     """Send a refusal as problem details (RFC 9457)."""
     headers: HeaderList = [
