--- a/comfreywind/http/routes.py
+++ b/comfreywind/http/routes.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from urllib.parse import unquote
 
 from comfreywind.http.asgi_types import Receive, Scope, Send
 
@@ -42,3 +43,14 @@
         if match and route.method == method:
             return route, match.groupdict()
     return None
+
+
+def find_raw_route(
+    routes: list[Route], method: str, raw_path: bytes
+) -> tuple[Route, dict[str, str]] | None:
+    """Return the route of an encoded path; only its parts are decoded, so they may hold slashes."""
+    found = find_route(routes, method, raw_path.decode('latin-1'))
+    if found is None:
+        return None
+    route, parts = found
+    return route, {name: unquote(part) for name, part in parts.items()}
--- a/comfreywind/stand_ins/platform_app.py
+++ b/comfreywind/stand_ins/platform_app.py
@@ -13,7 +13,7 @@
 from comfreywind.http.asgi_reply import send_json, send_reply
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.http.client import HttpClient
-from comfreywind.http.routes import HttpCall, find_route, make_route
+from comfreywind.http.routes import HttpCall, find_raw_route, make_route
 from comfreywind.settings.address import Address
 from comfreywind.stand_ins.connection_silencer import ConnectionSilencer
 from comfreywind.stand_ins.faults import PlatformFaults
@@ -61,7 +61,7 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        found = find_route(self._routes, scope['method'], scope['path'])
+        found = find_raw_route(self._routes, scope['method'], scope['raw_path'])
         if found is None:
             await send_json(send, 404, {'error': 'unknown path'})
             return
