--- a/comfreywind/decisions/attempt.py
+++ b/comfreywind/decisions/attempt.py
@@ -25,7 +25,8 @@
     """One attempt that has ended.
 
     `byte_sent` is True as soon as a byte of the request may have reached the target; `reused` tells
-    that the connection had served another request before.
+    that the connection had served another request before, and `silent` that the target has answered
+    over a newer connection while this one stayed without a byte.
     """
 
     end: AttemptEnd
@@ -33,6 +34,7 @@
     byte_received: bool = True
     reused: bool = False
     taken_s: float = 0
+    silent: bool = False
 
 
 def find_outcome(attempt: Attempt) -> Outcome:
@@ -49,7 +51,10 @@
 
     A refusal is the answer of a busy target. A timeout counts only when the target had
     SLOW_FAILURE_S and sent nothing, because a short deadline of a caller is no fault of the target.
+    A silent connection is a fault of the network between.
     """
+    if attempt.silent:
+        return False
     if attempt.end is AttemptEnd.TIMED_OUT:
         return not attempt.byte_received and attempt.taken_s >= SLOW_FAILURE_S
     return attempt.end not in {AttemptEnd.ANSWERED, AttemptEnd.REFUSED}
--- a/comfreywind/entry/request_run.py
+++ b/comfreywind/entry/request_run.py
@@ -38,6 +38,7 @@
             self.request.deadline_s,
             self.failed_targets,
             self.request.idempotent,
+            at_front=self.failures > 0,
         )
 
     def record(self, attempt: Attempt, placement: Placement) -> None:
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -12,7 +12,6 @@
 from comfreywind.entry.confirmations import Confirmations
 from comfreywind.entry.dispatch_policy import make_policy
 from comfreywind.entry.dispatcher import Dispatcher
-from comfreywind.entry.even_split_units import EvenSplitUnits
 from comfreywind.entry.feed import Feed
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.forwarder import Forwarder
@@ -25,6 +24,7 @@
 from comfreywind.entry.operator_app import OperatorApp
 from comfreywind.entry.propagation import Propagation
 from comfreywind.entry.rules_view import RulesView
+from comfreywind.entry.unit_policy import make_units
 from comfreywind.entry.service_tasks import ServiceTasks
 from comfreywind.entry.target_caller import TargetCaller
 from comfreywind.entry.target_client import TargetClient
@@ -72,11 +72,17 @@
         hub, rules_view, fleet_view, clock, timings, push=settings.push_changes
     )
     feed = Feed(tables, objects, rules_view, fleet_view, clock, control_view)
-    units = EvenSplitUnits(rules_view, len(settings.peers) + 1)
-    policy = make_policy(settings.policy)
+    units = make_units(settings, hub, tables, rules_view, clock, decisions)
     health = TargetHealth(fleet_view, clock, decisions)
     dispatcher = Dispatcher(
-        rules_view, fleet_view, units, clock, policy, settings.data_centre, target_health=health
+        rules_view,
+        fleet_view,
+        units,
+        clock,
+        health,
+        make_policy(settings.policy),
+        settings.name,
+        settings.data_centre,
     )
     load_exchange = LoadExchange(hub, dispatcher, clock)
     hub.set_heartbeat_source(HeartbeatSource(rules_view, fleet_view, dispatcher).make_heartbeat)
@@ -139,6 +145,7 @@
         nursery.start_soon(claims.run)
         nursery.start_soon(keep_targets_tidy, targets, health)
         nursery.start_soon(feed.run, timings.feed_interval_s)
+        nursery.start_soon(units.run)
         nursery.start_soon(summaries.run, recorder, timings.summary_interval_s)
         nursery.start_soon(load_exchange.run, timings.heartbeat_interval_s)
         nursery.start_soon(poll_vm_list, vm_list_client, fleet_view, timings.vm_list_interval_s)
@@ -152,6 +159,7 @@
             await termination.wait()
             await control.release()
             await stop_serving(caller_app, timings)
+            await units.leave()
             shutdown.set()
         await claims.drain(timings.platform_timeout_s)
         with trio.move_on_after(timings.platform_timeout_s):
--- a/comfreywind/entry/target_call.py
+++ b/comfreywind/entry/target_call.py
@@ -75,7 +75,8 @@
             return Attempt(end, byte_sent=False, byte_received=False, taken_s=taken_s)
         stream = self._connection.stream
         reused = self._connection.reused
-        return Attempt(end, stream.byte_sent, stream.byte_received, reused, taken_s)
+        silent = not stream.byte_received and self._connections.is_proven_silent(self._connection)
+        return Attempt(end, stream.byte_sent, stream.byte_received, reused, taken_s, silent)
 
     async def _run_both(self, release: Release, run_until_s: float) -> TargetAnswer | Attempt:
         with self._first_scope:
--- a/comfreywind/entry/target_caller.py
+++ b/comfreywind/entry/target_caller.py
@@ -1,7 +1,7 @@
 """Tries targets until one answers, within the limits for retries."""
 
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import partial
 
 import httpcore
@@ -28,6 +28,7 @@
 from comfreywind.http.asgi_types import HeaderList
 
 RETRY_AFTER_S = 1.0
+MILLISECONDS_PER_S = 1000
 CallResult = TargetAnswer | Attempt
 
 
@@ -169,8 +170,8 @@
             (b'content-length', str(len(request.body)).encode()),
             (b'x-request-id', request.request_id.encode()),
             (b'comfreywind-team', request.team.encode()),
-            (b'comfreywind-start-before', f'{start_before.timestamp():.3f}'.encode()),
-            (b'comfreywind-run-until', f'{run_until.timestamp():.3f}'.encode()),
+            (b'comfreywind-start-before', _format_instant(start_before)),
+            (b'comfreywind-run-until', _format_instant(run_until)),
             *request.headers,
         ]
         url = httpcore.URL(
@@ -185,6 +186,12 @@
         return run.request.deadline_s - self._clock.read_monotonic_s()
 
 
+def _format_instant(instant: datetime) -> bytes:
+    """Return Unix time with milliseconds, rounded down, since a lease must not become longer."""
+    whole_ms = int(instant.timestamp() * MILLISECONDS_PER_S)
+    return f'{whole_ms / MILLISECONDS_PER_S:.3f}'.encode()
+
+
 def _describe(reply: CallResult) -> Attempt:
     if isinstance(reply, Attempt):
         return reply
--- a/comfreywind/entry/target_connections.py
+++ b/comfreywind/entry/target_connections.py
@@ -30,6 +30,7 @@
         self._idle: deque[TargetConnection] = deque()
         self._waiting = trio.lowlevel.ParkingLot()
         self._generation = 0
+        self._answered_generation = 0
         self._open_count = 0
 
     async def lease(self, limit: int, fresh: bool = False) -> TargetConnection:
@@ -48,6 +49,14 @@
                 return await self._open()
             await self._waiting.park()
 
+    def note_answer(self, connection: TargetConnection) -> None:
+        """Note that a whole answer came over the connection."""
+        self._answered_generation = max(self._answered_generation, connection.generation)
+
+    def is_proven_silent(self, connection: TargetConnection) -> bool:
+        """Return whether a connection opened after this one was suspected has been answered."""
+        return connection.reused and connection.generation < self._answered_generation
+
     def keep(self, connection: TargetConnection) -> None:
         """Take back a connection whose exchange is complete."""
         if connection.generation < self._generation:
--- a/comfreywind/entry/target_health.py
+++ b/comfreywind/entry/target_health.py
@@ -26,7 +26,7 @@
 class TargetHealth:
     """Ejects targets that fail, within the cap of their pool.
 
-    The dispatcher asks `list_ejected` and `count_failure_load` when it places a request. The
+    The dispatcher asks `admits` and `count_failure_load` when it places a request. The
     forwarder calls `start` before and `report` after each attempt.
     """
 
@@ -41,6 +41,12 @@
         self._ejected: set[str] = set()
         self._running: Counter[str] = Counter()
 
+    def admits(self, vm: VmEntry, idempotent: bool) -> bool:
+        """Return whether the target may get a request of this kind now."""
+        if vm.name not in self._ejected:
+            return True
+        return self._admits(vm.name, self._clock.read_monotonic_s(), idempotent)
+
     def list_ejected(self, idempotent: bool) -> frozenset[str]:
         """Return the names of the targets that may not get a request of this kind now."""
         if not self._ejected:
@@ -50,9 +56,9 @@
             name for name in self._ejected if not self._admits(name, now_s, idempotent)
         )
 
-    def count_failure_load(self, name: str) -> int:
+    def count_failure_load(self, vm: VmEntry) -> int:
         """Return how many outstanding requests the recent failures of the VM count as."""
-        record = self._records.get(name)
+        record = self._records.get(vm.name)
         return 0 if record is None else find_failure_load(record, self._clock.read_monotonic_s())
 
     def has_other_target(self, pool: str, excluded: frozenset[str], idempotent: bool) -> bool:
--- a/comfreywind/entry/target_work.py
+++ b/comfreywind/entry/target_work.py
@@ -46,6 +46,8 @@
             return
         self._ended = True
         stream = self.connection.stream
+        if complete:
+            self._connections.note_answer(self.connection)
         if not complete and stream.byte_sent and not stream.peer_closed:
             self._services.start(self._wait_for_target)
             return
--- a/tests/test_retry_decisions.py
+++ b/tests/test_retry_decisions.py
@@ -106,6 +106,7 @@
         (Attempt(END.ANSWERED), False),
         (Attempt(END.TIMED_OUT, byte_received=False, taken_s=0.1), False),
         (Attempt(END.TIMED_OUT, byte_received=False, taken_s=10), True),
+        (Attempt(END.TIMED_OUT, byte_received=False, taken_s=10, silent=True), False),
     ],
 )
 def test_what_counts_as_failure(attempt: Attempt, failure: bool) -> None:
@@ -132,7 +133,7 @@
     for vm in vms * 6:
         health.report(vm, 'pool', failed=True)
     assert len(health.list_ejected(idempotent=True)) == ejected
-    assert health.count_failure_load('vm-0') == 6
+    assert health.count_failure_load(vms[0]) == 6
 
 
 def test_failure_ratio() -> None:
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -181,8 +181,8 @@
     faults.set_target_faults(0, silence_open_connections=True)
     reply = faults.call('solo', 'POST', x_request_id='silent-post', prefer='wait=2')
     assert (reply.status, reply.outcome) == (504, 'unknown')
-    assert faults.count_runs('solo', 'silent-post') == 0
     assert faults.call('solo', 'POST').outcome == 'answered'
+    assert faults.count_runs('solo', 'silent-post') == 0
 
 
 def test_ejection(faults: FaultFleet) -> None:
