--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -195,7 +195,13 @@
 
     def _make_target(self, name: str, vms: list[dict[str, Any]]) -> FleetProcess:
         executors = [
-            {'name': vm['name'], 'address': vm['address'], 'slots': self.plan.slots} for vm in vms
+            {
+                'name': vm['name'],
+                'address': vm['address'],
+                'slots': self.plan.slots,
+                'connections': self.plan.connections,
+            }
+            for vm in vms
         ]
         return FleetProcess(self.folder, name, ['stand-in', 'target'], {'executors': executors})
 
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -8,6 +8,7 @@
 from comfreywind.control.control_view import ControlView
 from comfreywind.control.make_control import make_control
 from comfreywind.entry.caller_app import CallerApp
+from comfreywind.entry.claims import Claims
 from comfreywind.entry.confirmations import Confirmations
 from comfreywind.entry.dispatch_policy import make_policy
 from comfreywind.entry.dispatcher import Dispatcher
@@ -24,8 +25,11 @@
 from comfreywind.entry.propagation import Propagation
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.unit_policy import make_units
+from comfreywind.entry.service_tasks import ServiceTasks
+from comfreywind.entry.target_caller import TargetCaller
 from comfreywind.entry.target_client import TargetClient
-from comfreywind.entry.target_judge import AdmitAll
+from comfreywind.entry.target_health import TargetHealth
+from comfreywind.entry.target_upkeep import keep_targets_tidy
 from comfreywind.entry.vm_list_poller import poll_vm_list
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
@@ -46,7 +50,6 @@
 from comfreywind.settings.entry import EntrySettings
 from comfreywind.signals import set_on_termination
 
-TARGET_CONNECTIONS = 64
 NANOSECONDS_PER_S = 1_000_000_000
 
 
@@ -70,12 +73,13 @@
     )
     feed = Feed(tables, objects, rules_view, fleet_view, clock, control_view)
     units = make_units(settings, hub, tables, rules_view, clock, decisions)
+    health = TargetHealth(fleet_view, clock, decisions)
     dispatcher = Dispatcher(
         rules_view,
         fleet_view,
         units,
         clock,
-        AdmitAll(),
+        health,
         make_policy(settings.policy),
         settings.name,
         settings.data_centre,
@@ -95,9 +99,21 @@
         clock,
         timings,
     )
-    forwarder = Forwarder(
-        dispatcher, TargetClient(TARGET_CONNECTIONS), units, clock, settings.buffer_limit_bytes
+    services = ServiceTasks()
+    targets = TargetClient(fleet_view, clock, timings.connect_timeout_s)
+    caller = TargetCaller(
+        dispatcher,
+        targets,
+        health,
+        units,
+        services,
+        clock,
+        len(settings.peers) + 1,
+        settings.buffer_limit_bytes,
+        timings.silent_probe_s,
     )
+    claims = Claims(tables, hub.identity, services, clock, timings.claim_retention_s, hub)
+    forwarder = Forwarder(caller, claims, clock)
     caller_app = CallerApp(
         rules_view, forwarder, clock, settings.body_limit_bytes, timings.default_deadline_s
     )
@@ -125,6 +141,9 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(set_on_termination, termination)
         await nursery.start(hub.run)
+        await nursery.start(services.run)
+        nursery.start_soon(claims.run)
+        nursery.start_soon(keep_targets_tidy, targets, health)
         nursery.start_soon(feed.run, timings.feed_interval_s)
         nursery.start_soon(units.run)
         nursery.start_soon(summaries.run, recorder, timings.summary_interval_s)
@@ -142,6 +161,7 @@
             await stop_serving(caller_app, timings)
             await units.leave()
             shutdown.set()
+        await claims.drain(timings.platform_timeout_s)
         with trio.move_on_after(timings.platform_timeout_s):
             await decision_store.flush()
         nursery.cancel_scope.cancel()
--- a/comfreywind/stand_ins/run_log.py
+++ b/comfreywind/stand_ins/run_log.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from comfreywind.stand_ins.connection_log import ConnectionLog
+
 
 @dataclass(slots=True)
 class RunLog:
@@ -15,6 +17,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     running: Counter[str] = field(default_factory=Counter)
     highest_running: Counter[str] = field(default_factory=Counter)
+    connections: ConnectionLog = field(default_factory=ConnectionLog)
     interrupted_count: int = 0
     received_while_rebooting_count: int = 0
 
@@ -34,6 +37,9 @@
             'runs': dict(self.runs),
             'running': dict(self.running),
             'highest_running': dict(self.highest_running),
+            'connections': dict(self.connections.current),
+            'highest_connections': dict(self.connections.highest),
+            'refused_connections': dict(self.connections.refused),
             'reboots': {
                 'interrupted': self.interrupted_count,
                 'received_while_rebooting': self.received_while_rebooting_count,
