Refuse promises to holders that a new member can't know to be fenced

Cause: found by reasoning about members that join after a fence: they were not asked to agree to it, so a fenced holder that thawed could extend its session by their promise and start work on reclaimed units.

Also: fenced rows are removed after 60 s, and only live members count for the peer hub, so that replaced entries don't weigh on the majority of members; entries take turns of 1 s when there are fewer units than entries, where rounding down had left an entry without any.

--- a/comfreywind/decisions/portions/guard_events.py
+++ b/comfreywind/decisions/portions/guard_events.py
@@ -25,11 +25,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PromiseAsked(GuardEvent):
-    """A holder asks for a promise and states the highest renewal number that the store confirmed."""
+    """A holder asks for a promise and states the highest renewal number that the store confirmed.
+
+    `is_member` tells that a read of the members, made after this entry had joined, shows the holder
+    as not fenced. An entry that joined after the fence was not asked to agree to it, so without such
+    a read it could extend the session of a fenced holder.
+    """
 
     holder: str
     renewal_number: int
     now_s: float
+    is_member: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/comfreywind/decisions/portions/guard_step.py
+++ b/comfreywind/decisions/portions/guard_step.py
@@ -46,7 +46,7 @@
 def _answer_promise_request(event: PromiseAsked, guard: Guard) -> GuardStep:
     known = _lift_commitment(guard, event.holder, event.renewal_number)
     committed = any(name == event.holder for name, _ in known.commitments)
-    if committed or not is_session_valid(known, event.now_s):
+    if committed or not event.is_member or not is_session_valid(known, event.now_s):
         return known, (RefusePromise(event.holder),)
     until_s = event.now_s + known.timing.observed_ttl_s
     granted = raise_total(_list_unexpired(known, event.now_s), event.holder, until_s)
--- a/comfreywind/entry/portions/fence_keeper.py
+++ b/comfreywind/entry/portions/fence_keeper.py
@@ -19,7 +19,7 @@
 from comfreywind.entry.portions.member_row import encode_member_row
 from comfreywind.entry.portions.portion_book import PortionBook
 from comfreywind.entry.portions.portion_view import PortionView, SeenMember
-from comfreywind.errors import PlatformError, RowConflictError
+from comfreywind.errors import PlatformError
 from comfreywind.peers.messages.fence_query import FenceQuery
 from comfreywind.peers.messages.fence_reply import FenceReply
 from comfreywind.peers.peer_hub import PeerHub
@@ -32,6 +32,8 @@
 
 # Only an entry that reads the store now can fence.
 VIEW_AGE_LIMIT_S = 1.5
+# A process that is frozen for longer finds its row gone, which it takes as a fence.
+KEEP_FENCED_S = 60.0
 # The entries try one after the other, so that not all of them ask all others at once.
 RANK_DELAY_S = 0.25
 
@@ -63,7 +65,6 @@
         self._decisions = decisions
         self._cases: dict[str, FenceCase] = {}
         self.deaths = DeathWatch(hub, view, clock)
-        self.fenced_here: set[str] = set()
         hub.subscribe(FenceQuery, self._receive_query)
         hub.subscribe(FenceReply, self._receive_reply)
         view.subscribe(self._see_renewals)
@@ -72,10 +73,22 @@
         """Go on with the fence of every member whose session has ended."""
         if self._view.read_age_s() > VIEW_AGE_LIMIT_S:
             return
+        await self._remove_old_rows()
         for seen in self._view.list_live():
             if seen.member.holder != self._book.holder and self._is_due(seen):
                 await self._advance(seen)
 
+    async def _remove_old_rows(self) -> None:
+        """Remove rows of holders that were fenced long ago and whose units are settled."""
+        if not self._book.is_valid() or self._read_rank(own_former=False):
+            return
+        oldest_s = self._clock.read_monotonic_s() - KEEP_FENCED_S
+        for seen in list(self._view.members.values()):
+            old = seen.member.fenced and seen.since_s < oldest_s
+            if old and self._view.is_settled(seen.member):
+                write = RowWrite(TABLE_MEMBERS, seen.member.name, seen.version, None)
+                await self._commit_and_poll([write], f'the removal of {seen.member.holder}')
+
     def _is_due(self, seen: SeenMember) -> bool:
         own_former = seen.member.name == self._own_name
         if not own_former and not self._book.is_valid():
@@ -144,27 +157,31 @@
             RowWrite(TABLE_MEMBERS, fenced.name, seen.version, encode_member_row(fenced)),
             RowWrite(TABLE_MEMBERSHIP, ROW_VIEW, self._view.view_version, {}),
         ]
+        self._cases.pop(fenced.holder, None)
+        if not await self._commit_and_poll(writes, f'the fence of {fenced.holder}'):
+            return
+        log.warning('fenced %s', fenced.holder)
+        self._decisions.record(
+            'portion',
+            f'entry/{fenced.name}',
+            'fenced: no renewal and all members agreed',
+            incarnation=fenced.incarnation,
+            renewal_number=fenced.renewal_number,
+        )
+
+    async def _commit_and_poll(self, writes: list[RowWrite], name: str) -> bool:
+        """Return whether the writes are known to have taken effect."""
+        committed = True
         try:
             await self._tables.commit(writes)
-        except RowConflictError:
-            log.info('%s was not fenced: the members changed', fenced.holder)
         except PlatformError as error:
-            log.warning('the outcome of the fence of %s is not known: %s', fenced.holder, error)
-        else:
-            log.warning('fenced %s', fenced.holder)
-            self.fenced_here.add(fenced.holder)
-            self._decisions.record(
-                'portion',
-                f'entry/{fenced.name}',
-                'fenced: no renewal and all members agreed',
-                incarnation=fenced.incarnation,
-                renewal_number=fenced.renewal_number,
-            )
-        self._cases.pop(fenced.holder, None)
+            committed = False
+            log.warning('%s was refused or has no known outcome: %s', name, error)
         try:
             await self._view.poll()
         except PlatformError as error:
             log.warning("the members can't be read: %s", error)
+        return committed
 
     def _receive_query(self, sender: PeerIdentity, query: FenceQuery) -> None:
         if self._book.leaving or query.holder == self._book.holder:
--- a/comfreywind/entry/portions/portion_keeper.py
+++ b/comfreywind/entry/portions/portion_keeper.py
@@ -53,7 +53,7 @@
         self.view = PortionView(tables, clock)
         self.book = PortionBook(self.view, rules_view, clock)
         self._session = SessionKeeper(member, tables, self.view, self.book, clock, timings)
-        self._promises = PromiseExchange(hub, self.book, clock, timings)
+        self._promises = PromiseExchange(hub, self.view, self.book, clock, timings)
         self._exchange = UnitExchange(hub, self.book, self.view, clock)
         self._fences = FenceKeeper(
             member.name, hub, tables, self.view, self.book, clock, timings, decisions
@@ -150,8 +150,8 @@
 
     def _see_view(self) -> None:
         members = {
-            name: parse_address(seen.member.peer_address)
-            for name, seen in self.view.members.items()
+            seen.member.name: parse_address(seen.member.peer_address)
+            for seen in self.view.list_live()
         }
         if members:
             self._hub.set_members(members)
--- a/comfreywind/entry/portions/portion_view.py
+++ b/comfreywind/entry/portions/portion_view.py
@@ -6,7 +6,9 @@
 import trio
 
 from comfreywind.clock import Clock
+from comfreywind.decisions.portions.holder_name import is_settled
 from comfreywind.decisions.portions.portion_row import PortionRow
+from comfreywind.decisions.portions.row_changes import mentions_holder
 from comfreywind.entry.portions.member_row import MemberRow, decode_member_row
 from comfreywind.entry.portions.portion_codec import decode_portion_row
 from comfreywind.platform.row import Row
@@ -90,6 +92,20 @@
                 return seen.member
         return None
 
+    def is_settled(self, member: MemberRow) -> bool:
+        """Return whether no units or flows of a fenced holder are left to settle."""
+        holder = member.holder
+        if any(mentions_holder(row, holder) for _, row in self.portions.values()):
+            return False
+        return all(
+            is_settled(self.read_portion(resource)[1].settled, holder)
+            for resource in member.fenced_flows
+        )
+
+    def shows_both(self, own_holder: str, holder: str) -> bool:
+        """Return whether one read shows both as members that are not fenced."""
+        return self.find_live(own_holder) is not None and self.find_live(holder) is not None
+
     def list_live(self) -> list[SeenMember]:
         """Return the members that are not fenced."""
         return [seen for seen in self.members.values() if not seen.member.fenced]
--- a/comfreywind/entry/portions/portion_writer.py
+++ b/comfreywind/entry/portions/portion_writer.py
@@ -242,10 +242,8 @@
     def _start(self, write: PlannedWrite) -> None:
         """Keep what the write gives up out of use until its outcome is known."""
         self._unresolved[write.resource] = write
-        if not self._book.is_valid():
-            return
         ledger = self._book.find_ledger(write.resource)
-        if ledger.row_version == write.version:
+        if self._book.guard is not None and ledger.row_version == write.version:
             self._book.set_ledger(write.resource, start_write(ledger, write.returning_units))
 
     def _forget(self, first_attempts: list[PlannedWrite]) -> None:
--- a/comfreywind/entry/portions/promise_exchange.py
+++ b/comfreywind/entry/portions/promise_exchange.py
@@ -7,6 +7,7 @@
 from comfreywind.decisions.portions.guard_effects import GrantPromise
 from comfreywind.decisions.portions.guard_events import PromiseAsked, PromiseReceived
 from comfreywind.entry.portions.portion_book import PortionBook
+from comfreywind.entry.portions.portion_view import PortionView
 from comfreywind.peers.messages.promise_grant import PromiseGrant
 from comfreywind.peers.messages.promise_refusal import PromiseRefusal
 from comfreywind.peers.messages.promise_request import PromiseRequest
@@ -23,15 +24,22 @@
 class PromiseExchange:
     """Asks for promises when half of the session has passed without a renewal, and gives them."""
 
-    def __init__(self, hub: PeerHub, book: PortionBook, clock: Clock, timings: Timings) -> None:
+    def __init__(
+        self,
+        hub: PeerHub,
+        view: PortionView,
+        book: PortionBook,
+        clock: Clock,
+        timings: Timings,
+    ) -> None:
         """Answer the requests of peers."""
         self._hub = hub
+        self._view = view
         self._book = book
         self._clock = clock
         self._session_ttl_s = timings.session_ttl_s
         self._numbers = itertools.count(1)
         self._asked: dict[int, float] = {}
-        self._by_promise = False
         hub.subscribe(PromiseRequest, self._receive_request)
         hub.subscribe(PromiseGrant, self._receive_grant)
         hub.subscribe(PromiseRefusal, self._receive_refusal)
@@ -59,7 +67,12 @@
     def _receive_request(self, sender: PeerIdentity, request: PromiseRequest) -> None:
         if self._book.leaving:
             return
-        asked = PromiseAsked(request.holder, request.renewal_number, self._clock.read_monotonic_s())
+        asked = PromiseAsked(
+            request.holder,
+            request.renewal_number,
+            self._clock.read_monotonic_s(),
+            self._view.shows_both(self._book.holder, request.holder),
+        )
         effects = self._book.apply(asked)
         if effects == (GrantPromise(request.holder),):
             self._hub.send(sender.name, PromiseGrant(request.holder, request.request_number))
--- a/comfreywind/entry/portions/session_keeper.py
+++ b/comfreywind/entry/portions/session_keeper.py
@@ -9,7 +9,6 @@
 from comfreywind.decisions.portions.guard import Guard
 from comfreywind.decisions.portions.guard_events import RenewalConfirmed
 from comfreywind.decisions.portions.holder_name import make_holder
-from comfreywind.decisions.portions.row_changes import mentions_holder
 from comfreywind.decisions.portions.session_timing import SessionTiming
 from comfreywind.decisions.portions.totals import read_total
 from comfreywind.entry.portions.member_row import MemberRow, encode_member_row
@@ -97,17 +96,7 @@
 
         The row can be replaced only after that, because it holds what is needed to settle them.
         """
-        if not former.fenced:
-            return True
-        holder = former.holder
-        rows = self._view.portions
-        if any(mentions_holder(row, holder) for _, row in rows.values()):
-            return True
-        return any(
-            read_total(self._view.read_portion(resource)[1].settled, former.name)
-            < former.incarnation
-            for resource in former.fenced_flows
-        )
+        return not former.fenced or not self._view.is_settled(former)
 
     def _choose_incarnation(self) -> int:
         """Return the wall time, but at least one more than any known incarnation of this name."""
@@ -130,6 +119,7 @@
             versions = await self._tables.commit([write, *other_writes])
         except RowConflictError:
             await self._view.poll()
+            self._note_missing_row()
             raise
         self._confirm(member, versions[0])
 
@@ -144,6 +134,13 @@
         elif (member.incarnation, member.renewal_number) in self._attempts:
             self._confirm(member, seen.version)
 
+    def _note_missing_row(self) -> None:
+        """Take a row that is gone or replaced as a fence; fenced rows are removed after a while."""
+        seen = self._view.members.get(self._member.name)
+        if self._book.is_joined() and (seen is None or seen.member.holder != self._book.holder):
+            log.warning('the row of %s is gone; it joins again', self._book.holder)
+            self._book.note_fence()
+
     def _note_fence(self, member: MemberRow) -> None:
         if self._book.is_joined() and member.holder == self._book.holder:
             log.warning('this entry was fenced as %s; it joins again', member.holder)
--- a/comfreywind/entry/portions/unit_exchange.py
+++ b/comfreywind/entry/portions/unit_exchange.py
@@ -18,6 +18,8 @@
 ASK_INTERVAL_S = 0.2
 # A peer that had nothing to give is not asked again for this time.
 EMPTY_S = 0.5
+# With fewer units than entries that need some, an entry keeps its last unit for this time.
+TURN_S = 1.0
 # Units that come back within this time still go to the peer that asked for them.
 OWED_S = 0.5
 
@@ -33,6 +35,7 @@
         self._clock = clock
         self._asked_s: dict[str, float] = {}
         self._empty_s: dict[tuple[str, str], float] = {}
+        self._received_s: dict[str, float] = {}
         self._owed: dict[str, tuple[str, int, float]] = {}
         self._confirmed: dict[tuple[str, str, str], int] = {}
         hub.subscribe(UnitsRequest, self._receive_request)
@@ -106,19 +109,21 @@
     def _receive_request(self, sender: PeerIdentity, request: UnitsRequest) -> None:
         team = read_team(request.resource)
         row = self._view.read_portion(request.resource)[1]
-        if split_holder(request.holder)[0] != sender.name or is_settled(
-            row.settled, request.holder
+        if split_holder(request.holder)[0] != sender.name or not self._book.may_trade(
+            request.holder
         ):
             return
-        if not self._book.may_trade(request.holder):
+        if is_settled(row.settled, request.holder) or not self._view.find_live(request.holder):
             return
         own = UnitDemand(self._book.count_held(team), self._book.count_demand(team))
         asking = UnitDemand(request.held_units, request.demand_units)
-        gift_units = decide_gift(own, asking, request.wanted_units)
+        now_s = self._clock.read_monotonic_s()
+        is_turn_over = now_s > self._received_s.get(team, 0) + TURN_S
+        gift_units = decide_gift(own, asking, request.wanted_units, is_turn_over)
         idle_units = max(0, self._book.count_idle(team))
         given_units = min(gift_units, idle_units)
         if gift_units > given_units:
-            until_s = self._clock.read_monotonic_s() + OWED_S
+            until_s = now_s + OWED_S
             self._owed[team] = (request.holder, gift_units - given_units, until_s)
         self._give(request.resource, request.holder, given_units)
 
@@ -152,6 +157,7 @@
             self._hub.send(sender.name, confirmation)
         if received != ledger:
             self._book.set_ledger(transfer.resource, received)
+            self._received_s[team] = self._clock.read_monotonic_s()
             self._book.wake([team])
 
     def _note_answer(self, team: str, peer: str, idle_units: int) -> None:
--- a/tests/model/fence_model.py
+++ b/tests/model/fence_model.py
@@ -1,7 +1,8 @@
 """Specification of sessions, promises and fences for the model checker.
 
 A holder H has the only unit of a ceiling. P can grant it promises. R fences it, reclaims the unit and
-uses it. Every decision is taken by the functions that run in production. The time is always `NOW`;
+uses it. After P was killed, Q may take its place at any time and can grant promises as well. A store outage and
+a late or lost message need no steps of their own: no step is ever forced. Every decision is taken by the functions that run in production. The time is always `NOW`;
 a tick moves all deadlines back, so that the number of states is finite.
 """
 
@@ -40,8 +41,7 @@
 
 NOW = 10
 MAX_RUN = 1
-HOLDER, PEER, FENCER = 'h@1', 'p@1', 'r@1'
-RENEWALS_LIMIT = 2
+HOLDER, PEER, FENCER, JOINER = 'h@1', 'p@1', 'r@1', 'q@1'
 ALWAYS = 1000
 
 
@@ -56,10 +56,27 @@
     EXCUSE_WAIT = 'the wait after a member was proven dead'
     MAX_RUN_WAIT = 'the wait for the longest run'
     START_BEFORE = 'the start limit that the target checks'
+    JOINER_READ = 'the read of the members that a new member needs to give promises'
+    JOINER_SILENCE = 'the silence of a new member that may have had a predecessor'
+    VIEW_CONDITION = 'the condition on the version of the view of members'
+
+
+class Setup(NamedTuple):
+    """What is left out, whether Q takes P's place, and how often the holder renews at most.
+
+    Q replaces the row of P, as a new process of that name does, so P's agreement isn't asked for then.
+    """
+
+    removed: Removed = Removed.NOTHING
+    with_joiner: bool = False
+    renewals_limit: int = 2
 
 
 class FenceState(NamedTuple):
-    """All processes, messages on the way and the store; `None` stands for nothing there."""
+    """All processes, messages on the way and the store; `None` stands for nothing there.
+
+    `peer` is the guard of P, and of Q after that has joined.
+    """
 
     holder: Guard
     peer: Guard
@@ -77,21 +94,24 @@
     row: PortionRow = PortionRow(1, 1, recorded=((HOLDER, 1),))
     case: FenceCase = FenceCase(HOLDER, 1, NOW)
     dead_seen_s: int | None = None
-    fence_version: int | None = None
+    joined: bool = False
+    joiner_sees: str = ''
+    fencer_sees_joiner: bool = False
+    fence_sent: tuple[int, bool] | None = None
     reclaim_seen_s: int | None = None
 
 
 Step = tuple[str, FenceState]
 
 
-def make_fence_protocol(ttl: int, removed: Removed = Removed.NOTHING) -> Protocol:
-    """Return the specification with a time to live in ticks, without the given protection."""
+def make_fence_protocol(ttl: int, setup: Setup = Setup()) -> Protocol:
+    """Return the specification with a time to live in ticks."""
     return Protocol(
-        name=f'fence without {removed.value}',
+        name=f'fence without {setup.removed.value}',
         candidate=False,
         fields=FenceState._fields,
         initial=make_initial_state(ttl),
-        transitions=lambda state: list(list_steps(FenceState(*state), removed)),
+        transitions=lambda state: list(list_steps(FenceState(*state), setup)),
         invariants={
             'running work never exceeds the ceiling': lambda state: (
                 state['holder_runs'] + state['fencer_runs'] <= 1
@@ -119,35 +139,38 @@
     return HOLDER in recorded and at_work and is_session_valid(state['holder'], NOW)
 
 
-def list_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+def list_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
     """Yield all steps and faults that are possible."""
     yield 'tick', _tick(state)
     yield from _list_faults(state)
     if state.holder_alive and state.holder_awake:
-        yield from _list_holder_steps(state)
-    if state.peer_alive:
-        yield from _list_peer_steps(state)
-    yield from _list_store_steps(state, removed)
-    yield from _list_target_steps(state, removed)
-    yield from _list_fencer_steps(state, removed)
+        yield from _list_holder_steps(state, setup)
+    if state.peer_alive or state.joined:
+        yield from _list_peer_steps(state, setup)
+    yield from _list_joiner_steps(state, setup)
+    yield from _list_store_steps(state, setup)
+    yield from _list_target_steps(state, setup)
+    yield from _list_fencer_steps(state, setup)
 
 
 def _list_faults(state: FenceState) -> Iterator[Step]:
     if state.holder_alive:
         yield 'freeze or wake holder', state._replace(holder_awake=not state.holder_awake)
-        yield (
-            'kill holder',
-            state._replace(holder_alive=False, holder_awake=True, grant_asked_s=None),
-        )
+        yield 'kill holder', _kill_holder(state)
     if state.peer_alive:
         yield 'kill peer', state._replace(peer_alive=False, dead_seen_s=NOW)
     if state.grant_asked_s is not None:
         yield 'lose the promise', state._replace(grant_asked_s=None)
 
 
-def _list_holder_steps(state: FenceState) -> Iterator[Step]:
+def _kill_holder(state: FenceState) -> FenceState:
+    holder = replace(state.holder, valid_until_s=NOW - 1, renewal_number=0)
+    return state._replace(holder=holder, holder_alive=False, holder_awake=True, grant_asked_s=None)
+
+
+def _list_holder_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
     guard = state.holder
-    if state.attempt is None and guard.renewal_number < RENEWALS_LIMIT and not guard.fenced:
+    if state.attempt is None and guard.renewal_number < setup.renewals_limit and not guard.fenced:
         attempt = (guard.renewal_number + 1, NOW)
         yield 'holder sends renewal', state._replace(attempt=attempt)
     if state.member_fenced and not guard.fenced:
@@ -173,19 +196,39 @@
         yield 'holder checks session', state._replace(send_before_s=int(state.holder.valid_until_s))
 
 
-def _list_target_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+def _list_target_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
     if state.send_before_s is None:
         return
     sent = state._replace(send_before_s=None)
-    if state.send_before_s >= NOW or removed is Removed.START_BEFORE:
+    if state.send_before_s >= NOW or setup.removed is Removed.START_BEFORE:
         yield 'target starts work of holder', sent._replace(holder_runs=MAX_RUN)
     else:
         yield 'target refuses work of holder', sent
 
 
-def _list_peer_steps(state: FenceState) -> Iterator[Step]:
+def _list_joiner_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
+    if setup.with_joiner and not state.peer_alive and not state.joined:
+        timing = state.fencer.timing
+        silent_until_s = NOW + int(timing.ttl_s)
+        if setup.removed is Removed.JOINER_SILENCE:
+            silent_until_s = NOW
+        joiner = Guard(JOINER, timing, silent_until_s=silent_until_s, valid_until_s=ALWAYS)
+        yield 'new member joins', state._replace(joined=True, peer=joiner)
+    if not state.joined:
+        return
+    sees = 'fenced' if state.member_fenced else 'live'
+    if state.joiner_sees != sees:
+        yield 'new member reads the members', state._replace(joiner_sees=sees)
+    if not state.fencer_sees_joiner:
+        yield 'fencer sees new member', state._replace(fencer_sees_joiner=True)
+
+
+def _list_peer_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
     if state.holder_alive and state.holder_awake:
-        asked = PromiseAsked(HOLDER, state.holder.renewal_number, NOW)
+        is_member = not state.joined or state.joiner_sees == 'live'
+        if setup.removed is Removed.JOINER_READ:
+            is_member = True
+        asked = PromiseAsked(HOLDER, state.holder.renewal_number, NOW, is_member)
         guard, effects = apply_guard_event(asked, state.peer)
         if effects == (GrantPromise(HOLDER),):
             yield 'peer grants promise', state._replace(peer=guard, grant_asked_s=NOW)
@@ -194,39 +237,49 @@
         yield 'peer sees renewal', state._replace(peer=_apply(seen, state.peer))
     query = FenceAsked(HOLDER, state.case.renewal_number, NOW)
     guard, effects = apply_guard_event(query, state.peer)
-    if not effects:
+    if not effects or state.member_fenced:
         return
     yield 'peer agrees, its reply is lost', state._replace(peer=guard)
-    yield 'peer agrees', state._replace(peer=guard, case=_add(state.case, PEER))
+    yield 'peer agrees', state._replace(peer=guard, case=_add(state.case, guard.holder))
 
 
-def _list_store_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+def _list_store_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
     pending = state.attempt is not None and state.attempt[0] > state.member_renewal
     if pending and not state.member_fenced:
         yield 'store applies renewal', state._replace(member_renewal=state.attempt[0])
-    if state.fence_version is None:
+    if state.fence_sent is None:
         return
-    conditional = removed is not Removed.ROW_CONDITION
-    if conditional and state.fence_version != state.member_renewal:
-        yield 'store refuses fence', state._replace(fence_version=None)
+    renewal, saw_joiner = state.fence_sent
+    renewed = renewal != state.member_renewal and setup.removed is not Removed.ROW_CONDITION
+    joined = saw_joiner != state.joined and setup.removed is not Removed.VIEW_CONDITION
+    if renewed or joined:
+        yield 'store refuses fence', state._replace(fence_sent=None)
         return
     yield (
         'store applies fence',
-        state._replace(fence_version=None, member_fenced=True),
+        _forget_case(state._replace(fence_sent=None, member_fenced=True)),
     )
 
 
-def _list_fencer_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+def _forget_case(state: FenceState) -> FenceState:
+    """Clear what can't matter after the fence, so that fewer states differ."""
+    timing = state.fencer.timing
+    case = FenceCase(HOLDER, 0, NOW - int(timing.ttl_s))
+    fencer = Guard(FENCER, timing, silent_until_s=0, valid_until_s=ALWAYS)
+    return state._replace(case=case, fencer=fencer, dead_seen_s=None)
+
+
+def _list_fencer_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
     query = FenceAsked(HOLDER, state.case.renewal_number, NOW)
     guard, effects = apply_guard_event(query, state.fencer)
     if effects and not state.member_fenced:
         yield 'fencer agrees', state._replace(fencer=guard, case=_add(state.case, FENCER))
     if state.holder_alive and state.holder_awake:
-        asked = PromiseAsked(HOLDER, state.holder.renewal_number, NOW)
+        asked = PromiseAsked(HOLDER, state.holder.renewal_number, NOW, not state.member_fenced)
         guard, grants = apply_guard_event(asked, state.fencer)
         if grants == (GrantPromise(HOLDER),):
             yield 'fencer grants promise', state._replace(fencer=guard, grant_asked_s=NOW)
-    if state.member_renewal != state.case.renewal_number:
+    if state.member_renewal != state.case.renewal_number and not state.member_fenced:
         seen = RenewalSeen(HOLDER, state.member_renewal)
         yield (
             'fencer sees renewal',
@@ -235,34 +288,39 @@
                 case=FenceCase(HOLDER, state.member_renewal, NOW),
             ),
         )
-    elif _may_fence(state, removed):
-        yield 'fencer sends fence', state._replace(fence_version=state.case.renewal_number)
-    yield from _list_reclaim_steps(state, removed)
+    elif _may_fence(state, setup):
+        yield (
+            'fencer sends fence',
+            state._replace(fence_sent=(state.case.renewal_number, state.fencer_sees_joiner)),
+        )
+    yield from _list_reclaim_steps(state, setup)
 
 
-def _may_fence(state: FenceState, removed: Removed) -> bool:
-    if state.member_fenced or state.fence_version is not None:
+def _may_fence(state: FenceState, setup: Setup) -> bool:
+    if state.member_fenced or state.fence_sent is not None:
         return False
-    if removed is not Removed.EXPIRY_WAIT and not is_expired(state.case, state.fencer.timing, NOW):
+    if setup.removed is not Removed.EXPIRY_WAIT and not is_expired(
+        state.case, state.fencer.timing, NOW
+    ):
         return False
-    if removed is Removed.AGREEMENTS:
+    if setup.removed is Removed.AGREEMENTS:
         return True
-    members = {HOLDER, FENCER, PEER}
+    members = {HOLDER, FENCER, JOINER if state.fencer_sees_joiner else PEER}
     if state.dead_seen_s is not None:
         waited = NOW >= state.dead_seen_s + state.fencer.timing.observed_ttl_s
-        if waited or removed is Removed.EXCUSE_WAIT:
+        if waited or setup.removed is Removed.EXCUSE_WAIT:
             members.discard(PEER)
     return not list_missing(state.case, frozenset(members))
 
 
-def _list_reclaim_steps(state: FenceState, removed: Removed) -> Iterator[Step]:
+def _list_reclaim_steps(state: FenceState, setup: Setup) -> Iterator[Step]:
     recorded = dict(state.row.recorded)
     gone = state.member_fenced
-    if removed is Removed.FENCE:
+    if setup.removed is Removed.FENCE:
         # Without the fence, the holder's units are taken as soon as it is silent for its time to live.
         gone = is_expired(state.case, state.fencer.timing, NOW)
     if HOLDER in recorded and gone:
-        wait_s = 0 if removed is Removed.MAX_RUN_WAIT else MAX_RUN
+        wait_s = 0 if setup.removed is Removed.MAX_RUN_WAIT else MAX_RUN
         row = settle_holder(state.row, HOLDER, (), wait_s)
         yield 'fencer settles holder', state._replace(row=row, reclaim_seen_s=NOW)
     for reclaim in state.row.reclaiming:
@@ -304,7 +362,8 @@
     until_s = guard.valid_until_s
     if until_s < ALWAYS:
         until_s = max(until_s - 1, NOW - 1)
-    return replace(guard, valid_until_s=until_s, granted=granted)
+    silent_until_s = max(guard.silent_until_s - 1, 0 if guard.silent_until_s == 0 else NOW)
+    return replace(guard, valid_until_s=until_s, granted=granted, silent_until_s=silent_until_s)
 
 
 def _apply(event: GuardEvent, guard: Guard) -> Guard:
--- a/tests/model/test_fence_model.py
+++ b/tests/model/test_fence_model.py
@@ -2,9 +2,17 @@
 
 import pytest
 
-from tests.model.fence_model import Removed, make_fence_protocol
+from tests.model.fence_model import Removed, Setup, make_fence_protocol
 from tests.model.report import check_all_states, check_goal, find_counterexample
 
+JOINER = Setup(with_joiner=True, renewals_limit=1)
+JOINER_PROTECTIONS = (Removed.JOINER_READ, Removed.JOINER_SILENCE, Removed.VIEW_CONDITION)
+PROTECTIONS = [
+    Setup(removed) if removed not in JOINER_PROTECTIONS else JOINER._replace(removed=removed)
+    for removed in Removed
+    if removed is not Removed.NOTHING
+]
+
 
 def test_safety() -> None:
     """Guards against a fence that overlaps a valid session, under all interleavings and faults."""
@@ -12,12 +20,18 @@
     assert set(holding.values()) == {True}
 
 
+def test_safety_with_new_member() -> None:
+    """Guards against a new member that extends the session of a holder that others have fenced."""
+    holding = check_all_states(make_fence_protocol(ttl=1, setup=JOINER))
+    assert set(holding.values()) == {True}
+
+
 def test_liveness() -> None:
     """Guards against a state in which the unit of a lost holder stays unusable for ever."""
     assert check_goal(make_fence_protocol(ttl=1)) is True
 
 
-@pytest.mark.parametrize('removed', [item for item in Removed if item is not Removed.NOTHING])
-def test_each_protection_is_needed(removed: Removed) -> None:
+@pytest.mark.parametrize('setup', PROTECTIONS, ids=lambda setup: setup.removed.name)
+def test_each_protection_is_needed(setup: Setup) -> None:
     """Guards against a model that can't fail: without any one protection, the ceiling is exceeded."""
-    assert find_counterexample(make_fence_protocol(ttl=1, removed=removed))
+    assert find_counterexample(make_fence_protocol(ttl=1, setup=setup))
--- a/tests/test_portions_fleet.py
+++ b/tests/test_portions_fleet.py
@@ -83,6 +83,25 @@
     read_running(portion_fleet)
 
 
+def test_entries_take_turns(portion_fleet: Fleet) -> None:
+    """Guards against an entry that keeps the only unit while the requests of others wait."""
+    portion_fleet.roll_out(2, make_bundle(1))
+    wait_until(lambda: _is_in_force(portion_fleet, 2), 'version 2 on all entries')
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.1) as load:
+        for entry in range(3):
+            load.set_callers(entry, 3)
+        for _ in range(2):
+            answered_before = load.answered.copy()
+            wait_until(
+                lambda before=answered_before: all(
+                    load.answered[entry] > before[entry] for entry in range(3)
+                ),
+                'work on all entries',
+                4 * FOLLOW_LIMIT_S,
+            )
+    assert portion_fleet.read_run_log()['highest_running'][TEAM] == 1
+
+
 def test_killed_entry(portion_fleet: Fleet) -> None:
     """Guards against units lost with a killed entry, and against using them while its work runs."""
     with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.5) as load:
