--- a/tests/test_portions_fleet.py
+++ b/tests/processes/test_portions.py
@@ -149,6 +149,21 @@
     assert not any('was fenced' in entry.read_log() for entry in portion_fleet.entries)
 
 
+@pytest.mark.parametrize('store_down', [False, True])
+def test_graceful_stop(portion_fleet: Fleet, store_down: bool) -> None:
+    """Guards against units that wait for a fence although their entry stopped gracefully."""
+    with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.2) as load:
+        move_load(portion_fleet, load, 1)
+        load.set_callers(1, 0)
+        wait_until(lambda: not load.in_flight[1], 'idle entry', 5)
+        portion_fleet.set_platform_faults(down=store_down)
+        assert portion_fleet.entries[1].stop() == 0
+        load.set_callers(0, 30)
+        wait_for_full_use(portion_fleet, FOLLOW_LIMIT_S)
+    read_running(portion_fleet)
+    assert not any('portions: fenced' in entry.read_log() for entry in portion_fleet.entries)
+
+
 def test_lost_replies(portion_fleet: Fleet) -> None:
     """Guards against units counted twice or lost when a write took effect but its reply was lost."""
     with SteadyLoad(portion_fleet, TEAM, 'rebuild', 0.2) as load:
