--- a/comfreywind/decisions/team_load.py
+++ b/comfreywind/decisions/team_load.py
@@ -21,3 +21,10 @@
     def demand(self) -> int:
         """Return what the team could use now."""
         return self.running + self.waiting
+
+    def to_counts(self) -> tuple[int, ...]:
+        """Return the numbers in the order of the fields.
+
+        `dataclasses.astuple` copies each number, which took a fifth of the time of a plan.
+        """
+        return self.running, self.waiting, self.ready, self.urgent_running, self.urgent_ready
--- a/comfreywind/entry/pool_queue.py
+++ b/comfreywind/entry/pool_queue.py
@@ -1,7 +1,6 @@
 """Waiting requests and targets of one pool."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import astuple
 
 from comfreywind.bundle.rules import TeamRules
 from comfreywind.clock import Clock
@@ -108,7 +107,7 @@
     def make_loads(self) -> dict[str, tuple[int, ...]]:
         """Return the load of each team that has any, as it is reported to peers."""
         loads = {name: team.make_load() for name, team in self._active.items()}
-        return {name: astuple(load) for name, load in loads.items() if load.demand}
+        return {name: load.to_counts() for name, load in loads.items() if load.demand}
 
     def renew_plan(
         self,
