--- a/comfreywind/entry/bundle_loading.py
+++ b/comfreywind/entry/bundle_loading.py
@@ -10,6 +10,9 @@
 from comfreywind.errors import BundleError
 from comfreywind.peers.messages.bundle_offer import BundleOffer
 
+# Text that nests too deeply makes the parser raise RecursionError.
+JSON_ERRORS = (ValueError, RecursionError)
+
 log = logging.getLogger('comfreywind.rules')
 
 
@@ -31,7 +34,7 @@
     source = f'bundle version {offer.version}'
     try:
         document = json.loads(offer.bundle_text)
-    except ValueError as error:
+    except JSON_ERRORS as error:
         raise BundleError(f'{source}: not JSON: {error}') from error
     if compute_digest(document) != offer.digest:
         raise BundleError(f'{source}: the content does not have digest {offer.digest}')
--- a/comfreywind/entry/propagation.py
+++ b/comfreywind/entry/propagation.py
@@ -13,7 +13,7 @@
 from comfreywind.decisions.own_view import OwnView
 from comfreywind.decisions.peer_report import PeerReport
 from comfreywind.decisions.view_mark import ViewMark
-from comfreywind.entry.bundle_loading import apply_offer
+from comfreywind.entry.bundle_loading import JSON_ERRORS, apply_offer
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.entry.view_parts import make_view_parts, read_keys, read_rows, read_vms
@@ -38,6 +38,8 @@
 VM_LIST_INTERVAL_S = 3.0
 MERGED_DIGESTS_LIMIT = 64
 OWN_NAME = ''
+# More than ten times the VMs of the target size; bounds what a faulty peer can make this entry hold.
+VM_LIST_LIMIT = 100_000
 
 log = logging.getLogger('comfreywind.propagation')
 
@@ -115,7 +117,7 @@
         _remember(self._merged_vms, message.vms_digest)
 
     def _receive_vm_list(self, sender: PeerIdentity, message: VmList) -> None:
-        if message.first:
+        if message.first or len(self._incoming_vms) > VM_LIST_LIMIT:
             self._incoming_vms = []
         self._incoming_vms.extend(_read_vms(message))
         if message.last and self._misses_store():
@@ -218,7 +220,7 @@
 def _read_rows(message: VmRowList) -> list[Row]:
     try:
         return list(read_rows(message, TABLE_VMS))
-    except ValueError as error:
+    except JSON_ERRORS as error:
         raise PeerError(f'a malformed VmRowList: {error}') from error
 
 
