--- a/tests/processes/test_frozen_and_cold.py
+++ b/tests/processes/test_frozen_and_cold.py
@@ -2,7 +2,9 @@
 
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
+import psutil
 import pytest
 
 from bench.caller import call_entry
@@ -24,8 +26,11 @@
 
 @pytest.fixture
 def fleet() -> Iterator[Fleet]:
-    """Run a fleet of its own for each test, since the tests kill and freeze its entries."""
-    with Fleet(FleetPlan()) as running_fleet:
+    """Run a fleet of its own for each test, since the tests kill and freeze its entries.
+
+    Without the push, an entry that resumes finds no new version waiting in its buffers.
+    """
+    with Fleet(FleetPlan(entry_settings={'push_changes': False})) as running_fleet:
         running_fleet.roll_out(2, make_bundle(2))
         wait_until(lambda: obeys_version(running_fleet, 2, 2, 1), 'version 2')
         yield running_fleet
@@ -43,8 +48,13 @@
     assert withdraw_key(fleet, key)['unconfirmed'] == ['entry-2']
     fleet.set_platform_faults(down=store_down)
     wait_until(lambda: time.monotonic() > frozen_s + FRESH_S, 'end of the freshness')
-    fleet.entries[2].thaw()
-    resumed_s = time.monotonic()
+    waiting = [('/queues/v2/work', ''), ('/queues/rebuild/work', key)] * 3
+    with ThreadPoolExecutor(len(waiting)) as callers:
+        problems = [callers.submit(read_problem, fleet, 2, *request) for request in waiting]
+        wait_until(lambda: count_waiting(fleet, 2) >= len(waiting), 'requests in the buffers')
+        fleet.entries[2].thaw()
+        resumed_s = time.monotonic()
+    assert 'answered' not in {problem.result() for problem in problems}
     served_at_s = None
     while time.monotonic() < resumed_s + IN_FORCE_S and served_at_s is None:
         assert read_problem(fleet, 2, '/queues/v2/work') != 'answered'
@@ -97,6 +107,13 @@
     wait_in_force(fleet, 3, 2)
 
 
+def count_waiting(fleet: Fleet, entry: int) -> int:
+    """Return how many connections to the caller address of the entry exist on the callers' side."""
+    host, _, port = fleet.caller_addresses[entry].rpartition(':')
+    connections = psutil.Process().net_connections('tcp')
+    return sum(connection.raddr == (host, int(port)) for connection in connections)
+
+
 def can_reach_operator(fleet: Fleet, entry: int) -> bool:
     """Return whether the operator side of the entry answers."""
     try:
