Let requests in the wave tests outlast the polls before a reboot

With requests of 0.1 s the test also passed when stops did not wait for the work, because polls and ticks alone took longer. With 1.6 s such a stop interrupts 2 to 3 requests and the test fails.

--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -11,16 +11,20 @@
 from tests.helpers.maintenance import POOL, make_plan, was_maintained
 
 WORK_PATH = '/queues/rebuild/work?duration_s=0.1'
+# Longer than the polls and ticks between a draining row and the reboot, about 1 s here, so that
+# a stop which does not wait for the work would cut it off.
+LONG_WORK_PATH = '/queues/rebuild/work?duration_s=1.6'
 WAVE_TIMEOUT_S = 25
+CALLERS_COUNT = 8
 LEAVING_LIMIT_S = 2
 
 
-def make_load(fleet: Fleet, spared_entry: int | None = None) -> CallerLoad:
+def make_load(fleet: Fleet, spared_entry: int | None = None, path: str = WORK_PATH) -> CallerLoad:
     """Return load on all entries but one."""
     addresses = [
         address for index, address in enumerate(fleet.caller_addresses) if index != spared_entry
     ]
-    return CallerLoad(addresses, WORK_PATH, fleet.keys['timetables'])
+    return CallerLoad(addresses, path, fleet.keys['timetables'], CALLERS_COUNT)
 
 
 def wait_for_stop(fleet: Fleet) -> None:
@@ -33,9 +37,9 @@
 
 def check_undisturbed(fleet: Fleet, load: CallerLoad) -> None:
     """Check that requests were answered and that no reboot cut one off."""
-    assert load.outcomes['answered'] > 20
-    assert not load.outcomes['unknown'], load.outcomes
     assert [reboot for reboot in fleet.read_reboots() if reboot['interrupted'] != 0] == []
+    assert not load.outcomes['unknown'], load.outcomes
+    assert load.outcomes['answered'] > 10
 
 
 def test_reboot_without_drain_is_noticed() -> None:
@@ -61,7 +65,8 @@
 def test_wave_under_load() -> None:
     """Guards against requests cut off by a wave, and fewer VMs at any moment than required."""
     with Fleet(make_plan(6, 3)) as fleet:
-        with make_load(fleet) as load, WaveWatch(fleet, POOL) as watch:
+        load = make_load(fleet, path=LONG_WORK_PATH)
+        with load, WaveWatch(fleet, POOL) as watch:
             wait_until(lambda: was_maintained(fleet), 'the whole wave', WAVE_TIMEOUT_S)
         check_undisturbed(fleet, load)
         assert watch.find_lowest() >= 3
@@ -75,7 +80,7 @@
     with Fleet(make_plan(4, 2)) as fleet:
         holder = fleet.find_holder(POOL)
         assert holder is not None
-        with make_load(fleet, holder) as load, WaveWatch(fleet, POOL) as watch:
+        with make_load(fleet, holder, LONG_WORK_PATH) as load, WaveWatch(fleet, POOL) as watch:
             wait_for_stop(fleet)
             entry = fleet.entries[holder]
             entry.freeze() if frozen else entry.kill()
