--- a/tests/peers/test_view_parts.py
+++ b/tests/peers/test_view_parts.py
@@ -35,7 +35,7 @@
     for index in range(COUNT):
         rules_view.apply_key(TeamKey(f'{index:012}', 'timetables', '0' * 64, index % 2 == 0, 2))
         fields = None if index == 0 else VM_FIELDS
-        fleet_view.apply_vm_row(Row('vms', f'crossings-{index}', index + 1, fields))
+        fleet_view.apply_vm_rows([Row('vms', f'crossings-{index}', index + 1, fields)])
     vm = VmEntry('', Address('10.11.12.13', 65_000), 'dc-1', 'rack-1', 'crossings', 'leaving', 3)
     fleet_view.apply_vm_list([replace(vm, name=f'crossings-{index}') for index in range(COUNT)])
     parts = send_parts(ViewRequest(0, 0, 0, wants_vm_list=True), rules_view, fleet_view)
@@ -45,7 +45,7 @@
     for row in chain.from_iterable(
         read_rows(part, 'vms') for part in parts if type(part) is VmRowList
     ):
-        new_fleet.apply_vm_row(row)
+        new_fleet.apply_vm_rows([row])
     vms = list(chain.from_iterable(read_vms(part) for part in parts if type(part) is VmList))
     assert new_rules.keys == rules_view.keys
     assert new_rules.keys_digest == rules_view.keys_digest
