Take each entry's part of free units before they are needed

Cause: test_entry_without_store_keeps_serving and test_store_down fail with portions: units that nobody had taken stayed in the store and were out of reach during an outage. Each entry now takes its part of the free units at rest, and takes free units for a peer that asks and may be cut off.

The start limit sent to a target is now computed from a wall time read before the session: read in the other order, a process frozen in between would move the limit on by the time it was frozen.

--- a/comfreywind/entry/portions/portion_book.py
+++ b/comfreywind/entry/portions/portion_book.py
@@ -40,6 +40,7 @@
         self.leaving = False
         self.used: Counter[str] = Counter()
         self.orphaned: Counter[str] = Counter()
+        self.peer_wants: dict[str, tuple[int, float]] = {}
         self.waiting: defaultdict[str, int] = defaultdict(int)
 
     @property
@@ -136,6 +137,14 @@
         """Return the units of the team that no work uses."""
         return self._held.get(team, 0) - self.used[team]
 
+    def count_wanted(self, team: str) -> int:
+        """Return the units to take from the store, also for a peer that can't reach the store."""
+        own_units = max(0, self.waiting.get(team, 0) - max(0, self.count_idle(team)))
+        peer_units, until_s = self.peer_wants.get(team, (0, 0))
+        if self._clock.read_monotonic_s() >= until_s:
+            return own_units
+        return own_units + peer_units
+
     def count_demand(self, team: str) -> int:
         """Return the units that running and waiting requests of the team need here."""
         return self.used[team] + self.waiting[team]
--- a/comfreywind/entry/portions/portion_keeper.py
+++ b/comfreywind/entry/portions/portion_keeper.py
@@ -149,9 +149,10 @@
             await trio.sleep(WRITE_GAP_S)
 
     def _see_view(self) -> None:
+        # Fenced members stay listed until their rows are removed: operators are told of them.
         members = {
-            seen.member.name: parse_address(seen.member.peer_address)
-            for seen in self.view.list_live()
+            name: parse_address(seen.member.peer_address)
+            for name, seen in self.view.members.items()
         }
         if members:
             self._hub.set_members(members)
--- a/comfreywind/entry/portions/portion_writer.py
+++ b/comfreywind/entry/portions/portion_writer.py
@@ -107,7 +107,7 @@
         return self._longest_run_s + self._timings.run_margin_s
 
     def _list_resources(self) -> list[str]:
-        teams = [team for team, count in self._book.waiting.items() if count > 0]
+        teams = self._rules_view.rules.teams if self._rules_view.rules else {}
         fenced = [
             resource
             for seen in self._view.members.values()
@@ -149,7 +149,7 @@
             self._quiet[resource] = self._read_state(resource)
 
     def _needs_units(self, resource: str) -> bool:
-        return self._book.waiting.get(read_team(resource), 0) > 0
+        return self._book.count_wanted(read_team(resource)) > 0
 
     def _read_state(self, resource: str) -> tuple[object, ...]:
         rules = self._rules_view.rules
@@ -239,7 +239,10 @@
 
     def _take(self, resource: str, row: PortionRow) -> PortionRow:
         team = read_team(resource)
-        wanted_units = self._book.waiting[team] - max(0, self._book.count_idle(team))
+        # Units left in the store could not be used while it is down, so each entry takes its part.
+        part_units = -(-row.ceiling_units // max(1, len(self._view.list_live())))
+        missing_units = part_units - self._book.count_held(team)
+        wanted_units = max(missing_units, self._book.count_wanted(team))
         return take_free_units(row, self._book.holder, wanted_units)
 
     def _has_waited(self, key: tuple[str, str], wait_s: float) -> bool:
--- a/comfreywind/entry/portions/unit_exchange.py
+++ b/comfreywind/entry/portions/unit_exchange.py
@@ -46,6 +46,8 @@
         """Repeat unconfirmed transfers and ask for what is still missing."""
         if not self._book.is_valid():
             return
+        for team in list(self._owed):
+            self.give_owed(team)
         for resource in self._book.list_resources():
             self._repeat_transfers(resource)
         for team, waiting_count in list(self._book.waiting.items()):
@@ -79,7 +81,10 @@
             return
         holder, owed_units, until_s = self._owed.pop(team)
         idle_units = self._book.count_idle(team)
-        if self._clock.read_monotonic_s() > until_s or idle_units <= 0:
+        if self._clock.read_monotonic_s() > until_s:
+            return
+        if idle_units <= 0:
+            self._owed[team] = (holder, owed_units, until_s)
             return
         given_units = min(owed_units, idle_units)
         if owed_units > given_units:
@@ -108,7 +113,7 @@
 
     def _receive_request(self, sender: PeerIdentity, request: UnitsRequest) -> None:
         team = read_team(request.resource)
-        row = self._view.read_portion(request.resource)[1]
+        version, row = self._view.read_portion(request.resource)
         if split_holder(request.holder)[0] != sender.name or not self._book.may_trade(
             request.holder
         ):
@@ -125,8 +130,19 @@
         if gift_units > given_units:
             until_s = now_s + OWED_S
             self._owed[team] = (request.holder, gift_units - given_units, until_s)
+        lacking_units = request.wanted_units - given_units
+        if version:
+            lacking_units = min(lacking_units, row.free_units)
+        if gift_units == given_units and lacking_units > 0:
+            self._take_for_peer(team, request.holder, lacking_units)
         self._give(request.resource, request.holder, given_units)
 
+    def _take_for_peer(self, team: str, holder: str, units: int) -> None:
+        """Take free units for a peer, which may be cut off from the store."""
+        until_s = self._clock.read_monotonic_s() + OWED_S
+        self._book.peer_wants[team] = (units, until_s)
+        self._owed[team] = (holder, units, until_s)
+
     def _give(self, resource: str, receiver: str, units: int) -> None:
         if not self._book.may_trade(receiver):
             return
--- a/comfreywind/entry/target_caller.py
+++ b/comfreywind/entry/target_caller.py
@@ -85,6 +85,8 @@
 
     async def _try_target(self, run: RequestRun, placement: Placement) -> CallResult:
         release = partial(self._dispatcher.release, placement)
+        # Read before the session: a process frozen in between must not move the start limit on.
+        now = self._clock.read_utc()
         session_left_s = self._units.read_session_left_s()
         time_left_s = self._find_time_left_s(run)
         if session_left_s <= 0 or time_left_s <= 0:
@@ -93,7 +95,7 @@
         run_for_s = min(run.pool.max_run_s, time_left_s)
         call = TargetCall(
             self._targets.find_connections(placement.target),
-            self._make_request(run, placement, min(session_left_s, run_for_s), run_for_s),
+            self._make_request(run, placement, now, min(session_left_s, run_for_s), run_for_s),
             self._services,
             max(1, run.pool.connections_per_vm // self._entries_count),
             self._buffer_limit_bytes,
@@ -158,11 +160,15 @@
         self._dispatcher.wake_team(team)
 
     def _make_request(
-        self, run: RequestRun, placement: Placement, start_within_s: float, run_for_s: float
+        self,
+        run: RequestRun,
+        placement: Placement,
+        now: datetime,
+        start_within_s: float,
+        run_for_s: float,
     ) -> httpcore.Request:
         request = run.request
         address = placement.target.address
-        now = self._clock.read_utc()
         start_before = now + timedelta(seconds=start_within_s)
         run_until = now + timedelta(seconds=run_for_s)
         headers: HeaderList = [
