Build the parts of an entry in three assembly modules; record requests

Cause: run.py had grown to one function of 130 lines in which every part was wired, and `explain request` had nothing to print, because no part recorded requests.

CoreParts, ServingParts and OperatingParts are built from the settings; run.py tells what runs and in which order it stops. The callers' side records each request in the ring that the decision log keeps for them.

--- /dev/null
+++ b/comfreywind/entry/assembly/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the parts of an entry process from its settings."""
--- /dev/null
+++ b/comfreywind/entry/assembly/core_parts.py
@@ -0,0 +1,64 @@
+"""Clients, views and the hub, which all other parts of an entry use."""
+
+from dataclasses import dataclass
+
+from comfreywind.clock import Clock, SystemClock
+from comfreywind.control.control_view import ControlView
+from comfreywind.entry.fleet_view import FleetView
+from comfreywind.entry.rules_view import RulesView
+from comfreywind.http.client import HttpClient
+from comfreywind.peers.peer_identity import PeerIdentity
+from comfreywind.peers.stream_hub import StreamHub
+from comfreywind.peers.stream_limits import StreamLimits
+from comfreywind.platform.object_client import ObjectClient
+from comfreywind.platform.table_client import TableClient
+from comfreywind.platform.vm_list_client import VmListClient
+from comfreywind.report.decision_log import DecisionLog
+from comfreywind.settings.entry import EntrySettings
+
+NANOSECONDS_PER_S = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class CoreParts:
+    """What most parts need."""
+
+    settings: EntrySettings
+    clock: Clock
+    tables: TableClient
+    objects: ObjectClient
+    vm_list_client: VmListClient
+    rules_view: RulesView
+    fleet_view: FleetView
+    control_view: ControlView
+    decisions: DecisionLog
+    hub: StreamHub
+
+
+def make_core_parts(settings: EntrySettings) -> CoreParts:
+    """Return the core parts; nothing is connected yet."""
+    clock = SystemClock()
+    client = HttpClient(settings.platform_address, settings.timings.platform_timeout_s)
+    return CoreParts(
+        settings=settings,
+        clock=clock,
+        tables=TableClient(client),
+        objects=ObjectClient(client),
+        vm_list_client=VmListClient(client),
+        rules_view=RulesView(clock, settings.timings.fresh_s),
+        fleet_view=FleetView(requires_row=True),
+        control_view=ControlView(clock),
+        decisions=DecisionLog(clock),
+        hub=_make_hub(settings, clock),
+    )
+
+
+def _make_hub(settings: EntrySettings, clock: Clock) -> StreamHub:
+    """Return the hub of this process; its incarnation is the wall time in nanoseconds."""
+    incarnation = int(clock.read_utc().timestamp() * NANOSECONDS_PER_S)
+    timings = settings.timings
+    limits = StreamLimits(
+        timings.heartbeat_interval_s, timings.peer_silent_s, timings.connect_timeout_s
+    )
+    identity = PeerIdentity(settings.name, incarnation)
+    return StreamHub(identity, settings.peer_address, settings.peers, clock, limits)
--- /dev/null
+++ b/comfreywind/entry/assembly/operating_parts.py
@@ -0,0 +1,107 @@
+"""The parts that follow the platform, do control work, report, and serve operators."""
+
+from dataclasses import dataclass
+
+from comfreywind.control.control_task import ControlTask
+from comfreywind.control.make_control import make_control
+from comfreywind.entry.assembly.core_parts import CoreParts
+from comfreywind.entry.assembly.serving_parts import ServingParts
+from comfreywind.entry.confirmations import Confirmations
+from comfreywind.entry.feed import Feed
+from comfreywind.entry.member_status import MemberStatus
+from comfreywind.entry.observed_app import ObservedApp
+from comfreywind.entry.operations import Operations
+from comfreywind.entry.operator_app import OperatorApp
+from comfreywind.entry.propagation import Propagation
+from comfreywind.metrics import make_metrics
+from comfreywind.report.burn_reporter import BurnReporter
+from comfreywind.report.decision_store import DecisionStore
+from comfreywind.report.explainer import Explainer
+from comfreywind.report.result_recorder import ResultRecorder
+from comfreywind.report.summary_store import SummaryStore
+
+
+@dataclass(frozen=True, slots=True)
+class OperatingParts:
+    """Feed, control, reports and the operators' side."""
+
+    feed: Feed
+    control: ControlTask
+    recorder: ResultRecorder
+    summaries: SummaryStore
+    decision_store: DecisionStore
+    observed_app: ObservedApp
+    operator_app: OperatorApp
+
+
+def make_operating_parts(core: CoreParts, serving: ServingParts) -> OperatingParts:
+    """Return the parts that operate the entry."""
+    settings = core.settings
+    recorder = ResultRecorder(core.clock)
+    summaries = SummaryStore(core.tables, core.objects, _name_process(core))
+    decision_store = DecisionStore(settings.name, core.decisions, core.tables, core.objects)
+    propagation = Propagation(
+        core.hub,
+        core.rules_view,
+        core.fleet_view,
+        core.clock,
+        settings.timings,
+        push=settings.push_changes,
+    )
+    operator_app = OperatorApp(
+        settings.name,
+        settings.operator_token_sha256,
+        Operations(core.tables, core.objects),
+        core.rules_view,
+        core.fleet_view,
+        BurnReporter(summaries, recorder, core.clock),
+        propagation,
+        Confirmations(core.hub, core.rules_view, core.clock, settings.timings.confirm_wait_s),
+        MemberStatus(core.hub, core.clock),
+        core.control_view,
+        Explainer(settings.name, core.decisions, decision_store, core.hub),
+    )
+    return OperatingParts(
+        feed=Feed(
+            core.tables,
+            core.objects,
+            core.rules_view,
+            core.fleet_view,
+            core.clock,
+            core.control_view,
+        ),
+        control=_make_control(core, serving),
+        recorder=recorder,
+        summaries=summaries,
+        decision_store=decision_store,
+        observed_app=ObservedApp(
+            serving.caller_app,
+            core.rules_view,
+            recorder,
+            make_metrics(settings.statsd_address),
+            core.decisions,
+            core.clock,
+        ),
+        operator_app=operator_app,
+    )
+
+
+def _make_control(core: CoreParts, serving: ServingParts) -> ControlTask:
+    return make_control(
+        core.hub.identity,
+        core.hub,
+        core.control_view,
+        core.rules_view,
+        core.fleet_view,
+        core.tables,
+        core.vm_list_client,
+        serving.dispatcher.read_outstanding,
+        core.decisions,
+        core.clock,
+        core.settings.timings,
+    )
+
+
+def _name_process(core: CoreParts) -> str:
+    """Return a name that no other process of this entry has had."""
+    return f'{core.settings.name}-{core.hub.identity.incarnation}'
--- a/comfreywind/entry/observed_app.py
+++ b/comfreywind/entry/observed_app.py
@@ -6,11 +6,13 @@
 from comfreywind.entry.scope_keys import SCOPE_QUEUE, SCOPE_TEAM
 from comfreywind.http.asgi_types import AsgiApp, Message, Receive, Scope, Send
 from comfreywind.metrics import Metrics
+from comfreywind.report.decision_log import KIND_REQUEST, DecisionLog
 from comfreywind.report.request_facts import RequestFacts
 from comfreywind.report.result_recorder import ResultRecorder
 from comfreywind.report.service_result import classify_request
 
 DEFAULT_LATENCY_LIMIT_S = 5.0
+HEADER_REQUEST_ID = b'x-request-id'
 HEADER_OUTCOME = b'comfreywind-outcome'
 HEADER_REASON = b'comfreywind-reason'
 
@@ -24,6 +26,7 @@
         rules_view: RulesView,
         recorder: ResultRecorder,
         metrics: Metrics,
+        decisions: DecisionLog,
         clock: Clock,
     ) -> None:
         """Use the given parts."""
@@ -31,6 +34,7 @@
         self._rules_view = rules_view
         self._recorder = recorder
         self._metrics = metrics
+        self._decisions = decisions
         self._clock = clock
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -58,9 +62,22 @@
         result = classify_request(facts, self._find_latency_limit_s(facts.queue))
         self._metrics.count(f'requests.{facts.queue}.{facts.reason or facts.outcome}')
         self._metrics.record_duration(f'request_duration.{facts.queue}', facts.duration_s)
+        self._record_request(facts)
         if result is not None:
             self._recorder.add(facts.queue, facts.team, result)
 
+    def _record_request(self, facts: RequestFacts) -> None:
+        self._decisions.record(
+            KIND_REQUEST,
+            f'request/{facts.request_id}',
+            facts.reason or facts.outcome,
+            queue=facts.queue,
+            team=facts.team,
+            status=facts.status,
+            duration_s=f'{facts.duration_s:.3f}',
+            complete=facts.complete,
+        )
+
     def _find_latency_limit_s(self, queue: str) -> float:
         rules = self._rules_view.rules
         for objective in rules.objectives if rules else ():
@@ -72,6 +89,7 @@
 def _make_facts(scope: Scope, start: Message, duration_s: float, complete: bool) -> RequestFacts:
     headers = start.get('headers', [])
     return RequestFacts(
+        request_id=find_header(headers, HEADER_REQUEST_ID),
         queue=scope[SCOPE_QUEUE],
         team=scope.get(SCOPE_TEAM, ''),
         status=start['status'],
--- a/comfreywind/entry/unit_policy.py
+++ b/comfreywind/entry/unit_policy.py
@@ -10,6 +10,8 @@
 from comfreywind.report.decision_log import DecisionLog
 from comfreywind.settings.entry import EntrySettings
 
+RunnableUnits = PortionKeeper | EvenSplitUnits
+
 
 def make_units(
     settings: EntrySettings,
@@ -18,7 +20,7 @@
     rules_view: RulesView,
     clock: Clock,
     decisions: DecisionLog,
-) -> PortionKeeper | EvenSplitUnits:
+) -> RunnableUnits:
     """Return the unit source that the setting `unit_policy` names."""
     if settings.unit_policy == 'even-split':
         return EvenSplitUnits(rules_view, len(settings.peers) + 1)
--- a/comfreywind/report/request_facts.py
+++ b/comfreywind/report/request_facts.py
@@ -7,6 +7,7 @@
 class RequestFacts:
     """Queue, team, result and duration of a request; `reason` is empty for an answer."""
 
+    request_id: str
     queue: str
     team: str
     status: int
--- a/tests/test_burn_report.py
+++ b/tests/test_burn_report.py
@@ -37,7 +37,7 @@
     status: int, reason: str, duration_s: float, complete: bool, expected: str | None
 ) -> None:
     """Guards against the callers' own mistakes spending a service's budget."""
-    facts = RequestFacts('rebuild', 'rosters', status, '', reason, duration_s, complete)
+    facts = RequestFacts('1', 'rebuild', 'rosters', status, '', reason, duration_s, complete)
     assert classify_request(facts, OBJECTIVE.latency_s) == expected
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from bench.caller import call_entry
 from bench.fleet import OPERATOR_TOKEN, Fleet, wait_until
+from bench.fleet_plan import FleetPlan
 from comfreywind.errors import ObjectMissingError, StoreUnavailableError
 from comfreywind.exit_status import ExitStatus
 from comfreywind.report.decision_log import DecisionLog
@@ -140,3 +142,13 @@
     """Guards against a traceback when the entry can't be reached."""
     result = run_program('explain', kind, 'a', '--entry', '127.0.0.1:1', '--token', 'none')
     assert result.exit_status == ExitStatus.UNREACHABLE
+
+
+def test_explain_request() -> None:
+    """Guards against a request that no entry can tell about afterwards."""
+    with Fleet(FleetPlan(entries_count=2)) as fleet:
+        headers = {'x-request-id': 'crossing-7'}
+        call_entry(fleet.caller_addresses[0], '/queues/notices/work', headers=headers)
+        explanation = fleet.call_operator('GET', '/v1/explain/request/crossing-7', entry=1)
+        assert 'answered' in str(explanation)
+        assert 'notices' in str(explanation)
