Count all mistakes of callers as such in the burn report; add samples

Cause: the list of reasons that don't count named one that does not exist and lacked four that do, so a reused idempotency key spent the service's budget. Alert names contain commas and are now separated by semicolons. The table of classifications has the case of a reused key.

--- a/comfreywind/report/burn_html.py
+++ b/comfreywind/report/burn_html.py
@@ -31,7 +31,7 @@
 
 def _format_row(service: ServiceBurn) -> str:
     firing = [window.name for window in service.windows if window.firing]
-    alerts = ', '.join(firing) or 'none'
+    alerts = '; '.join(firing) or 'none'
     alert_class = ' class="firing"' if firing else ''
     causes = ', '.join(f'{cause} {count}' for cause, count in service.bad_by_cause.items())
     cells = (
--- a/comfreywind/report/burn_text.py
+++ b/comfreywind/report/burn_text.py
@@ -29,7 +29,7 @@
         objective=f'{service.success_ratio:.3%}',
         requests=service.requests_count,
         left=f'{service.budget_left_ratio:.1%}',
-        alerts=', '.join(firing) or 'none',
+        alerts='; '.join(firing) or 'none',
     )
     causes = ', '.join(f'{cause} {count}' for cause, count in service.bad_by_cause.items())
     return [row, f'    spent by: {causes}'] if causes else [row]
--- a/comfreywind/report/service_result.py
+++ b/comfreywind/report/service_result.py
@@ -14,7 +14,10 @@
         'queue-not-allowed',
         'queue-unknown',
         'claim-exists',
-        'claim-mismatch',
+        'idempotency-key-reused',
+        'method-not-allowed',
+        'http-version-unsupported',
+        'body-timeout',
         'body-too-large',
         'header-malformed',
     )
--- a/tests/test_burn_report.py
+++ b/tests/test_burn_report.py
@@ -27,6 +27,7 @@
     (200, '', 0.1, False, 'broken-off'),
     (429, 'queue-full', 0.0, True, 'queue-full'),
     (401, 'key-unknown', 0.0, True, None),
+    (422, 'idempotency-key-reused', 0.0, True, None),
 )
 
 
