--- a/comfreywind/decisions/portions/unit_shares.py
+++ b/comfreywind/decisions/portions/unit_shares.py
@@ -11,7 +11,9 @@
     demand_units: int
 
 
-def decide_gift(own: UnitDemand, asking: UnitDemand, wanted_units: int, is_turn_over: bool) -> int:
+def decide_transfer(
+    own: UnitDemand, asking: UnitDemand, wanted_units: int, is_turn_over: bool
+) -> int:
     """Return how many units the asked entry gives, now or as its work ends.
 
     It gives what it doesn't need itself, and beyond that as much as leaves both with units in
--- a/comfreywind/entry/dispatcher.py
+++ b/comfreywind/entry/dispatcher.py
@@ -23,7 +23,7 @@
 from comfreywind.entry.pool_queue import PoolQueue
 from comfreywind.entry.refusal_error import RefusalError
 from comfreywind.entry.rules_view import RulesView
-from comfreywind.entry.target_judge import AdmitAll, TargetJudge
+from comfreywind.entry.target_admission import AdmitAll, TargetAdmission
 from comfreywind.entry.target_pool import TargetPool
 from comfreywind.entry.team_queue import TeamQueue
 from comfreywind.entry.ticket import Ticket
@@ -66,7 +66,7 @@
         fleet_view: FleetView,
         units: UnitSource,
         clock: Clock,
-        judge: TargetJudge | None = None,
+        admission: TargetAdmission | None = None,
         policy: DispatchPolicy | None = None,
         entry_name: str = '',
         data_centre: str = '',
@@ -80,7 +80,7 @@
         self._policy = policy or SharesPolicy()
         self._entry_name = entry_name
         self._data_centre = data_centre
-        self._judge = judge or AdmitAll()
+        self._admission = admission or AdmitAll()
         self._generator = generator or random.Random()
         self._numbers = itertools.count(1)
         self._pools: dict[str, PoolQueue] = {}
@@ -320,7 +320,7 @@
     def _find_pool(self, name: str) -> PoolQueue:
         pool = self._pools.get(name)
         if pool is None:
-            pool = PoolQueue(TargetPool(self._data_centre, self._judge, self._generator))
+            pool = PoolQueue(TargetPool(self._data_centre, self._admission, self._generator))
             self._pools[name] = pool
             pool.targets.replace_vms(self._fleet_view.list_usable(name), self._read_slots(name))
         return pool
--- a/comfreywind/entry/portions/death_watch.py
+++ b/comfreywind/entry/portions/failure_detector.py
@@ -18,7 +18,7 @@
 PROBE_GAP_S = 1.0
 
 
-class DeathWatch:
+class FailureDetector:
     """Notes since when each member is known to be dead.
 
     A process of a higher incarnation answers at its peer address, or that address has refused all
--- a/comfreywind/entry/portions/fence_keeper.py
+++ b/comfreywind/entry/portions/fence_keeper.py
@@ -15,7 +15,7 @@
 from comfreywind.decisions.portions.guard_effects import AgreeToFence
 from comfreywind.decisions.portions.guard_events import FenceAsked, RenewalSeen
 from comfreywind.decisions.portions.session_timing import SessionTiming
-from comfreywind.entry.portions.death_watch import DeathWatch
+from comfreywind.entry.portions.failure_detector import FailureDetector
 from comfreywind.entry.portions.member_row import encode_member_row
 from comfreywind.entry.portions.portion_book import PortionBook
 from comfreywind.entry.portions.portion_view import PortionView, SeenMember
@@ -64,7 +64,7 @@
         self._timing = SessionTiming(timings.session_ttl_s, timings.clock_drift_ratio)
         self._decisions = decisions
         self._cases: dict[str, FenceCase] = {}
-        self.deaths = DeathWatch(hub, view, clock)
+        self.failure_detector = FailureDetector(hub, view, clock)
         hub.subscribe(FenceQuery, self._receive_query)
         hub.subscribe(FenceReply, self._receive_reply)
         view.subscribe(self._see_renewals)
@@ -122,7 +122,7 @@
         query = FenceQuery(holder, case.renewal_number)
         for member in missing:
             self._hub.send(member.partition('@')[0], query)
-        await self.deaths.probe(missing)
+        await self.failure_detector.probe(missing)
 
     def _agree_myself(self, holder: str) -> None:
         """Agree as a member; a process that has not joined has promised nothing."""
@@ -148,7 +148,7 @@
     def _is_excused(self, seen: SeenMember, oldest_s: float) -> bool:
         if seen.member.fenced and seen.since_s <= oldest_s:
             return True
-        dead_s = self.deaths.read_dead_since_s(seen.member)
+        dead_s = self.failure_detector.read_dead_since_s(seen.member)
         return dead_s is not None and dead_s <= oldest_s
 
     async def _commit(self, seen: SeenMember, case: FenceCase) -> None:
--- a/comfreywind/entry/portions/unit_exchange.py
+++ b/comfreywind/entry/portions/unit_exchange.py
@@ -4,7 +4,7 @@
 from comfreywind.decisions.portions.holder_name import is_settled, split_holder
 from comfreywind.decisions.portions.ledger_changes import give_units, receive_units
 from comfreywind.decisions.portions.totals import read_total
-from comfreywind.decisions.portions.unit_shares import UnitDemand, decide_gift
+from comfreywind.decisions.portions.unit_shares import UnitDemand, decide_transfer
 from comfreywind.entry.portions.portion_book import PortionBook
 from comfreywind.entry.portions.portion_codec import make_resource, read_team
 from comfreywind.entry.portions.portion_view import PortionView
@@ -124,16 +124,16 @@
         asking = UnitDemand(request.held_units, request.demand_units)
         now_s = self._clock.read_monotonic_s()
         is_turn_over = now_s > self._received_s.get(team, 0) + TURN_S
-        gift_units = decide_gift(own, asking, request.wanted_units, is_turn_over)
+        transfer_units = decide_transfer(own, asking, request.wanted_units, is_turn_over)
         idle_units = max(0, self._book.count_idle(team))
-        given_units = min(gift_units, idle_units)
-        if gift_units > given_units:
+        given_units = min(transfer_units, idle_units)
+        if transfer_units > given_units:
             until_s = now_s + OWED_S
-            self._owed[team] = (request.holder, gift_units - given_units, until_s)
+            self._owed[team] = (request.holder, transfer_units - given_units, until_s)
         lacking_units = request.wanted_units - given_units
         if version:
             lacking_units = min(lacking_units, row.free_units)
-        if gift_units == given_units and lacking_units > 0:
+        if transfer_units == given_units and lacking_units > 0:
             self._take_for_peer(team, request.holder, lacking_units)
         self._give(request.resource, request.holder, given_units)
 
--- a/comfreywind/entry/run.py
+++ b/comfreywind/entry/run.py
@@ -8,7 +8,7 @@
 from comfreywind.entry.assembly.operating_parts import OperatingParts, make_operating_parts
 from comfreywind.entry.assembly.serving_parts import ServingParts, make_serving_parts
 from comfreywind.entry.graceful_stop import stop_serving
-from comfreywind.entry.target_upkeep import keep_targets_tidy
+from comfreywind.entry.target_upkeep import maintain_targets
 from comfreywind.entry.vm_list_poller import poll_vm_list
 from comfreywind.http.server import serve_app
 from comfreywind.logs import configure_logs
@@ -41,7 +41,7 @@
     nursery.start_soon(serving.units.run)
     nursery.start_soon(serving.load_exchange.run, heartbeat_interval_s)
     nursery.start_soon(serving.readiness.run, heartbeat_interval_s)
-    nursery.start_soon(keep_targets_tidy, serving.targets, serving.health)
+    nursery.start_soon(maintain_targets, serving.targets, serving.health)
 
 
 def start_operating_tasks(
--- a/comfreywind/entry/target_judge.py
+++ b/comfreywind/entry/target_admission.py
@@ -1,11 +1,11 @@
-"""Which targets may get work, judged by something other than their load."""
+"""Which targets may get work, by something other than their load."""
 
 from typing import Protocol
 
 from comfreywind.platform.vm_entry import VmEntry
 
 
-class TargetJudge(Protocol):
+class TargetAdmission(Protocol):
     """Admits targets to the choice and adds to their load."""
 
     def admits(self, vm: VmEntry, idempotent: bool) -> bool:
--- a/comfreywind/entry/target_health.py
+++ b/comfreywind/entry/target_health.py
@@ -1,4 +1,4 @@
-"""Which targets of a pool get work, judged by how requests there have ended."""
+"""Which targets of a pool get work, by how requests there have ended."""
 
 import logging
 from collections import Counter
--- a/comfreywind/entry/target_pool.py
+++ b/comfreywind/entry/target_pool.py
@@ -9,7 +9,7 @@
 from comfreywind.decisions.room_rule import RoomRule
 from comfreywind.decisions.target_choice import choose_target
 from comfreywind.entry.name_set import NameSet
-from comfreywind.entry.target_judge import TargetJudge
+from comfreywind.entry.target_admission import TargetAdmission
 from comfreywind.entry.ticket import Ticket
 from comfreywind.platform.vm_entry import VmEntry
 
@@ -29,9 +29,11 @@
     according to their reports or, when that is more, to the target's refusal of a request.
     """
 
-    def __init__(self, data_centre: str, judge: TargetJudge, generator: random.Random) -> None:
+    def __init__(
+        self, data_centre: str, admission: TargetAdmission, generator: random.Random
+    ) -> None:
         """Start without targets."""
-        self._judge = judge
+        self._admission = admission
         self._data_centre = data_centre
         self._generator = generator
         self._slots = 0
@@ -120,10 +122,10 @@
     def _is_allowed(self, ticket: Ticket, name: str) -> bool:
         if name in ticket.excluded_targets:
             return False
-        return self._judge.admits(self._vms[name], ticket.idempotent)
+        return self._admission.admits(self._vms[name], ticket.idempotent)
 
     def _read_weight(self, name: str) -> int:
-        return self._read_load(name) + self._judge.count_failure_load(self._vms[name])
+        return self._read_load(name) + self._admission.count_failure_load(self._vms[name])
 
     def _read_load(self, name: str) -> int:
         return self._own[name] + max(self._peers.get(name, 0), self._read_stated(name))
--- a/comfreywind/entry/target_upkeep.py
+++ b/comfreywind/entry/target_upkeep.py
@@ -8,7 +8,7 @@
 INTERVAL_S = 2.0
 
 
-async def keep_targets_tidy(targets: TargetClient, health: TargetHealth) -> None:
+async def maintain_targets(targets: TargetClient, health: TargetHealth) -> None:
     """Close unused connections and forget missing targets, in a fixed period for ever."""
     while True:
         await trio.sleep(INTERVAL_S)
--- a/tests/decisions/test_portion_decisions.py
+++ b/tests/decisions/test_portion_decisions.py
@@ -17,11 +17,11 @@
     take_free_units,
 )
 from comfreywind.decisions.portions.session_timing import SessionTiming
-from comfreywind.decisions.portions.unit_shares import UnitDemand, decide_gift
+from comfreywind.decisions.portions.unit_shares import UnitDemand, decide_transfer
 
 ROW = PortionRow(10, 1, recorded=(('a@1', 4), ('b@1', 2)))
 GUARD = Guard('a@1', SessionTiming(4, 0.01), silent_until_s=0, valid_until_s=100)
-GIFT_CASES = (
+TRANSFER_CASES = (
     ('idle units go to who asks', UnitDemand(8, 0), UnitDemand(0, 5), 5, False, 5),
     ('no more than is spare', UnitDemand(8, 6), UnitDemand(8, 9), 5, False, 2),
     ('in proportion to demand', UnitDemand(12, 30), UnitDemand(0, 10), 10, False, 3),
@@ -33,12 +33,14 @@
 TAKE_CASES = ((1, 1), (2, 2), (9, 2))
 
 
-@pytest.mark.parametrize(('case', 'own', 'asking', 'wanted', 'turn_over', 'gift'), GIFT_CASES)
-def test_gifts(
-    case: str, own: UnitDemand, asking: UnitDemand, wanted: int, turn_over: bool, gift: int
+@pytest.mark.parametrize(
+    ('case', 'own', 'asking', 'wanted', 'turn_over', 'transfer'), TRANSFER_CASES
+)
+def test_transfer_decisions(
+    case: str, own: UnitDemand, asking: UnitDemand, wanted: int, turn_over: bool, transfer: int
 ) -> None:
     """Guards against units that move to and fro, and against an entry left without any."""
-    assert decide_gift(own, asking, wanted, turn_over) == gift, case
+    assert decide_transfer(own, asking, wanted, turn_over) == transfer, case
 
 
 @pytest.mark.parametrize(('wanted', 'taken'), TAKE_CASES)
