Bound the probes of VMs in each period

Cause, from a cProfile run of one of 9 entries with 7,100 VMs, 63 teams and 56 pools: opening a connection to each VM every second took 2.9 of about 12.5 busy seconds, the largest single part.

Ruled out as the first target: FleetView.group_usable (1.1 s, mostly while the rows arrive), the change feed (1.7 s), the portion writer (0.6 s).

Up to 100 VMs are probed in a period, those that failed last time first and the others in turn, so a fleet of up to 100 VMs an entry is probed as before.

--- a/comfreywind/control/control_task.py
+++ b/comfreywind/control/control_task.py
@@ -7,6 +7,7 @@
 
 from comfreywind.control.control_parts import ControlParts, VmList
 from comfreywind.control.pool_controller import PoolController
+from comfreywind.control.probe_rotation import ProbeRotation
 from comfreywind.control.prober import probe_vms
 from comfreywind.entry.fleet_view import FleetView
 from comfreywind.entry.rules_view import RulesView
@@ -27,6 +28,7 @@
         self._controllers: dict[str, PoolController] = {}
         self._released = False
         self._list_changed = True
+        self._rotation = ProbeRotation()
         self._listed: dict[str, VmEntry] = {}
         self._listed_by_pool: dict[str, list[VmEntry]] = {}
         fleet_view.subscribe(self._note_list_change)
@@ -81,7 +83,9 @@
         held_pools = {pool for pool, held in self._controllers.items() if held.is_held()}
         view = self._parts.view
         rows = {vm.name: vm for pool in held_pools for vm in view.list_pool(pool)}
-        probed = [listed[name] for name in rows if name in listed]
-        accepting = await probe_vms(probed, self._parts.timings.probe_timeout_s)
+        probeable = {name: listed[name] for name in rows if name in listed}
+        probed = self._rotation.choose(probeable)
+        answers = await probe_vms(probed, self._parts.timings.probe_timeout_s)
+        accepting = self._rotation.record(probeable, probed, answers)
         incarnations = {name: vm.incarnation for name, vm in rows.items()}
         self._parts.health.observe(incarnations, listed, accepting)
