Share the order of turns between fences and portion rows; drop an unused property

The delay by rank, the age limit of the view and the count of earlier peers stood in both modules, and nothing read SessionKeeper.own_version. Behaviour is unchanged.

--- a/comfreywind/entry/portions/fence_keeper.py
+++ b/comfreywind/entry/portions/fence_keeper.py
@@ -19,6 +19,7 @@
 from comfreywind.entry.portions.member_row import encode_member_row
 from comfreywind.entry.portions.portion_book import PortionBook
 from comfreywind.entry.portions.portion_view import PortionView, SeenMember
+from comfreywind.entry.portions.turn_order import RANK_DELAY_S, VIEW_AGE_LIMIT_S, read_rank
 from comfreywind.errors import PlatformError
 from comfreywind.peers.messages.fence_query import FenceQuery
 from comfreywind.peers.messages.fence_reply import FenceReply
@@ -30,12 +31,8 @@
 from comfreywind.report.decision_log import DecisionLog
 from comfreywind.settings.timings import Timings
 
-# Only an entry that reads the store now can fence.
-VIEW_AGE_LIMIT_S = 1.5
 # A process that is frozen for longer finds its row gone, which it takes as a fence.
 KEEP_FENCED_S = 60.0
-# The entries try one after the other, so that not all of them ask all others at once.
-RANK_DELAY_S = 0.25
 
 log = logging.getLogger('comfreywind.portions')
 
@@ -99,7 +96,7 @@
     def _read_rank(self, own_former: bool) -> int:
         if own_former:
             return 0
-        return sum(peer.name < self._own_name for peer in self._hub.list_alive())
+        return read_rank(self._own_name, self._hub)
 
     def _find_case(self, seen: SeenMember) -> FenceCase:
         holder = seen.member.holder
--- a/comfreywind/entry/portions/portion_writer.py
+++ b/comfreywind/entry/portions/portion_writer.py
@@ -27,6 +27,7 @@
     read_team,
 )
 from comfreywind.entry.portions.portion_view import PortionView
+from comfreywind.entry.portions.turn_order import RANK_DELAY_S, VIEW_AGE_LIMIT_S, read_rank
 from comfreywind.entry.rules_view import RulesView
 from comfreywind.errors import PlatformError, RowConflictError
 from comfreywind.peers.peer_hub import PeerHub
@@ -38,9 +39,6 @@
 
 # Transfers are recorded at most this often, so that shifting load costs few writes.
 RECORD_INTERVAL_S = 2.0
-# The entries do shared work one after the other; the first one mostly spares the others the write.
-RANK_DELAY_S = 0.25
-VIEW_AGE_LIMIT_S = 1.5
 
 log = logging.getLogger('comfreywind.portions')
 
@@ -163,7 +161,7 @@
 
     def _settle_lost(self, resource: str, row: PortionRow) -> PortionRow:
         for holder in self._list_lost(resource, row):
-            rank = 0 if self._is_mine(holder) else self._read_rank() + 1
+            rank = 0 if self._is_mine(holder) else read_rank(self._own_name, self._hub) + 1
             if not self._has_waited((resource, f'lost {holder}'), rank * RANK_DELAY_S):
                 continue
             member = self._find_fenced(holder)
@@ -204,7 +202,7 @@
         for reclaim in row.reclaiming:
             wait_s = reclaim.wait_s * (1 + self._timings.clock_drift_ratio)
             key = (resource, f'reclaim {reclaim}')
-            if self._has_waited(key, wait_s + self._read_rank() * RANK_DELAY_S):
+            if self._has_waited(key, wait_s + read_rank(self._own_name, self._hub) * RANK_DELAY_S):
                 row = finish_reclaim(row, reclaim)
                 self._decisions.record(
                     'portion',
@@ -249,9 +247,6 @@
         now_s = self._clock.read_monotonic_s()
         return now_s >= self._first_seen_s.setdefault(key, now_s) + wait_s
 
-    def _read_rank(self) -> int:
-        return sum(peer.name < self._own_name for peer in self._hub.list_alive())
-
     async def _commit(self, writes: list[PlannedWrite]) -> None:
         first_attempts = [write for write in writes if write.resource not in self._unresolved]
         for write in writes:
--- a/comfreywind/entry/portions/session_keeper.py
+++ b/comfreywind/entry/portions/session_keeper.py
@@ -54,11 +54,6 @@
         self._attempts: dict[tuple[int, int], float] = {}
         view.subscribe(self._read_own_row)
 
-    @property
-    def own_version(self) -> int:
-        """Return the newest known version of this entry's row."""
-        return self._own_version
-
     async def run(self) -> None:
         """Join, and renew in a fixed period for ever; after a fence, join again."""
         while not self._book.leaving:
