--- a/comfreywind/cli/root.py
+++ b/comfreywind/cli/root.py
@@ -8,6 +8,7 @@
 from comfreywind.cli.entry import entry_command
 from comfreywind.cli.explain import explain_command
 from comfreywind.cli.key import key_group
+from comfreywind.cli.node import node_command
 from comfreywind.cli.report import report_group
 from comfreywind.cli.show import show_command
 from comfreywind.cli.stand_in import stand_in_group
@@ -27,3 +28,4 @@
 root_command.add_command(show_command)
 root_command.add_command(report_group)
 root_command.add_command(explain_command)
+root_command.add_command(node_command)
--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -1,5 +1,7 @@
 """The exception tree; every error of the project derives from `ComfreywindError`."""
 
+from typing import Any
+
 from comfreywind.exit_status import ExitStatus
 
 
@@ -21,6 +23,10 @@
     exit_status = ExitStatus.BUNDLE_ERROR
 
 
+class JobRequestError(ComfreywindError):
+    """A job that a caller handed in is not valid; nothing of it is accepted."""
+
+
 class OperationRefusedError(ComfreywindError):
     """An operator's request was refused and changed nothing."""
 
@@ -37,6 +43,31 @@
     """The store gave no usable answer; a write may or may not have taken effect."""
 
 
+class StoreRefusedError(StoreUnavailableError):
+    """The store refused the call; nothing was done."""
+
+
+class HistoryLostError(PlatformError):
+    """The store no longer has the changes after the asked version; read the table anew."""
+
+
+class RowsChangedError(PlatformError):
+    """A transaction was refused because rows changed; `rows` are those named, as they are now."""
+
+    def __init__(self, rows: tuple[Any, ...]) -> None:
+        """Keep the rows."""
+        super().__init__(f'rows changed: {[row.key for row in rows]}')
+        self.rows = rows
+
+
+class TargetSilentError(PlatformError):
+    """A target gave no usable answer; what was asked may be carried out or not."""
+
+
+class TargetReplacedError(PlatformError):
+    """The target at the address is not the one that was meant; nothing was done."""
+
+
 class RowConflictError(PlatformError):
     """A transaction was refused because rows changed; nothing was written.
 
--- /dev/null
+++ b/comfreywind/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' side of jobs: keys, acceptance, state, cancelling."""
--- /dev/null
+++ b/comfreywind/intake/job_app.py
@@ -0,0 +1,160 @@
+"""Callers' HTTP interface of jobs."""
+
+import logging
+
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.errors import (
+    JobRequestError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from comfreywind.http.asgi_body import BodyIncompleteError, BodyTooLargeError, read_body
+from comfreywind.http.asgi_reply import send_json
+from comfreywind.http.asgi_types import Receive, Scope, Send
+from comfreywind.intake.job_store import JobStore
+from comfreywind.jobs.job_rules import JobRules
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.queue import Queue
+from comfreywind.platform.caller_codec import JOB_ID_PATTERN, STATE_WORDS, decode_job_request
+from comfreywind.platform.wire import HEADER_DEADLINE
+from comfreywind.scheduling.rules_follower import RulesFollower
+from comfreywind.scheduling.term_keeper import TermKeeper
+
+BODY_LIMIT_BYTES = 262_144
+RETRY_AFTER_S = 1
+BEARER = 'bearer '
+MS_PER_S = 1000
+DEFAULT_DEADLINE_S = 3.0
+# Time kept for the answer to reach the caller before its deadline.
+ANSWER_MARGIN_S = 0.1
+
+log = logging.getLogger('comfreywind.intake')
+
+
+class Reply(Exception):  # noqa: N818 (not an error)
+    """Ends the serving of a call with this answer."""
+
+    def __init__(self, status: int, document: dict[str, object]) -> None:
+        """Keep the answer; 429 and 503 tell when to come back."""
+        super().__init__(status)
+        self.status = status
+        self.document = document
+
+
+class JobApp:
+    """ASGI app that accepts jobs, tells their states and cancels them."""
+
+    def __init__(
+        self, rules: RulesFollower, store: JobStore, keeper: TermKeeper, clock: Clock
+    ) -> None:
+        """Use the node's rules, store and view of the term."""
+        self._rules = rules
+        self._store = store
+        self._keeper = keeper
+        self._clock = clock
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        headers = dict(scope['headers'])
+        try:
+            body = await read_body(receive, BODY_LIMIT_BYTES)
+        except BodyIncompleteError:
+            return
+        except BodyTooLargeError as error:
+            await send_json(send, 413, {'error': str(error)})
+            return
+        reply = await self._serve(scope['method'], scope['path'], headers, body)
+        extra = []
+        if reply.status in (429, 503):
+            extra.append((b'retry-after', str(RETRY_AFTER_S).encode()))
+        await send_json(send, reply.status, reply.document, extra)
+
+    async def _serve(
+        self, method: str, path: str, headers: dict[bytes, bytes], body: bytes
+    ) -> Reply:
+        with trio.move_on_after(_read_deadline_s(headers)):
+            try:
+                return await self._route(method, path, headers, body)
+            except Reply as reply:
+                return reply
+            except StoreRefusedError as error:
+                log.info('%s %s: 503, %s', method, path, error)
+                return Reply(503, {'error': 'the store refuses calls of this node'})
+            except StoreUnavailableError as error:
+                log.info('%s %s: 504, %s', method, path, error)
+                return Reply(504, {'error': 'the outcome is not known'})
+        log.info('%s %s: 504 at the deadline', method, path)
+        return Reply(504, {'error': 'the outcome is not known'})
+
+    async def _route(
+        self, method: str, path: str, headers: dict[bytes, bytes], body: bytes
+    ) -> Reply:
+        queue, team = self._admit(path, headers)
+        job_id = path[len(queue.prefix) :]
+        if not job_id and method == 'GET':
+            pending = self._keeper.seen_row.pending.get(queue.name, 0)
+            return Reply(200, {'pending': pending})
+        if not JOB_ID_PATTERN.fullmatch(job_id):
+            return Reply(400, {'error': 'a job id has 16 hexadecimal digits'})
+        if method == 'POST':
+            return await self._accept(job_id, team, queue, body)
+        serve = {'GET': self._tell_state, 'DELETE': self._cancel}.get(method)
+        if serve is None:
+            return Reply(405, {'error': 'GET, POST and DELETE are served'})
+        return await serve(job_id)
+
+    def _admit(self, path: str, headers: dict[bytes, bytes]) -> tuple[Queue, str]:
+        """Return the queue and the team of a call; raise its refusal as a Reply."""
+        rules = self._rules.rules
+        if rules is None or not self._rules.is_fresh():
+            raise Reply(503, {'error': 'this node does not know the rules in force'})
+        queue = rules.find_queue(headers.get(b'host', b'').decode('latin-1'), path)
+        if queue is None:
+            raise Reply(404, {'error': 'no such queue'})
+        team = _find_team(rules, queue, headers)
+        if team is None:
+            raise Reply(401, {'error': 'unknown key'})
+        return queue, team
+
+    async def _accept(self, job_id: str, team: str, queue: Queue, body: bytes) -> Reply:
+        accepted_ms = int(self._clock.read_utc().timestamp() * MS_PER_S)
+        try:
+            job = decode_job_request(body, job_id, team, queue, accepted_ms)
+        except JobRequestError as error:
+            return Reply(400, {'error': str(error)})
+        new = await self._store.accept(job)
+        log.info(
+            'job %s: %s for %s in %s', job_id, 'accepted' if new else 'known', team, queue.name
+        )
+        return Reply(200, {'state': STATE_WORDS[JobState.QUEUED]} if new else {})
+
+    async def _tell_state(self, job_id: str) -> Reply:
+        state = await self._store.read_state(job_id)
+        if state is None:
+            return Reply(410, {'error': 'no such job'})
+        return Reply(200, {'state': STATE_WORDS[state]})
+
+    async def _cancel(self, job_id: str) -> Reply:
+        state = await self._store.cancel(job_id)
+        if state is None:
+            return Reply(410, {'error': 'no such job'})
+        log.info('job %s: cancelling asked, state %s', job_id, state)
+        return Reply(200, {'state': STATE_WORDS[state]})
+
+
+def _read_deadline_s(headers: dict[bytes, bytes]) -> float:
+    text = headers.get(HEADER_DEADLINE, b'')
+    deadline_s = int(text) / MS_PER_S if text.isdigit() else DEFAULT_DEADLINE_S
+    return max(deadline_s - ANSWER_MARGIN_S, ANSWER_MARGIN_S)
+
+
+def _find_team(rules: JobRules, queue: Queue, headers: dict[bytes, bytes]) -> str | None:
+    """Return the team of the key, an empty name on a queue open to all, or None."""
+    authorization = headers.get(b'authorization', b'').decode('latin-1')
+    key = authorization[len(BEARER) :] if authorization.lower().startswith(BEARER) else ''
+    team = rules.teams_by_key.get(key)
+    if team is None and queue.open_to_all:
+        return ''
+    return team
--- /dev/null
+++ b/comfreywind/jobs/job_codec.py
@@ -0,0 +1,97 @@
+"""Rows of jobs and of their progress as msgpack."""
+
+from dataclasses import astuple
+from typing import Any
+
+import msgpack
+
+from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.queue import Queue
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.step import Step
+
+FORMAT_VERSION = 1
+
+
+class RowFormatError(ValueError):
+    """A row of our own tables can't be read; another program or version wrote it."""
+
+
+def encode_job(job: Job) -> bytes:
+    """Return the job as the value of a row."""
+    steps = [_list_fields(step) for step in job.steps]
+    times = [job.accepted_ms, job.occurrence_count, job.first_due_ms, job.interval_ms]
+    row = [FORMAT_VERSION, job.job_id, job.team, _list_fields(job.queue), job.spec, steps, times]
+    return _pack(row)
+
+
+def decode_job(value: bytes) -> Job:
+    """Return the job of a row; raise RowFormatError when it can't be read."""
+    row = _unpack(value)
+    try:
+        return _make_job(*row[1:])
+    except (TypeError, ValueError) as error:
+        raise RowFormatError(f'row of a job: {error}') from error
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the progress as the value of a row."""
+    done = [list(task) for task in sorted(progress.done)]
+    failures = [[*task, count] for task, count in progress.failures.items()]
+    checkpoints = [[*task, text] for task, text in progress.checkpoints.items()]
+    return _pack([FORMAT_VERSION, progress.state.value, done, failures, checkpoints])
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Return the progress of a row; raise RowFormatError when it can't be read."""
+    row = _unpack(value)
+    try:
+        return _make_progress(*row[1:])
+    except (TypeError, ValueError, IndexError) as error:
+        raise RowFormatError(f'row of progress: {error}') from error
+
+
+def _list_fields(record: Any) -> list[Any]:
+    return list(astuple(record))
+
+
+def _make_job(
+    job_id: str, team: str, queue: list[Any], spec: str, steps: list[list[Any]], times: list[int]
+) -> Job:
+    return Job(
+        job_id, team, Queue(*queue), spec, tuple(_make_step(*step) for step in steps), *times
+    )
+
+
+def _make_step(
+    task_count: int, request: list[int], estimate_ms: int, after: list[int], *rest: Any
+) -> Step:
+    return Step(task_count, Resources(*request), estimate_ms, tuple(after), *rest)
+
+
+def _make_progress(
+    state: str, done: list[list[int]], failures: list[list[int]], checkpoints: list[list[Any]]
+) -> Progress:
+    return Progress(
+        JobState(state),
+        {(task[0], task[1], task[2]) for task in done},
+        {(task[0], task[1], task[2]): task[3] for task in failures},
+        {(task[0], task[1], task[2]): task[3] for task in checkpoints},
+    )
+
+
+def _pack(row: list[Any]) -> bytes:
+    packed: bytes = msgpack.packb(row)
+    return packed
+
+
+def _unpack(value: bytes) -> Any:
+    try:
+        row = msgpack.unpackb(value)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise RowFormatError(f'no msgpack: {error}') from error
+    if not isinstance(row, list) or not row or row[0] != FORMAT_VERSION:
+        raise RowFormatError('unknown format version')
+    return row
--- /dev/null
+++ b/comfreywind/jobs/resources.py
@@ -0,0 +1,39 @@
+"""Amounts of processor, memory and accelerators."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of each resource; used for capacities, requests and ceilings."""
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def add(self, other: 'Resources') -> 'Resources':
+        """Return the sum."""
+        return Resources(
+            self.cpu_millicores + other.cpu_millicores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def subtract(self, other: 'Resources') -> 'Resources':
+        """Return the difference, which may be negative."""
+        return Resources(
+            self.cpu_millicores - other.cpu_millicores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, free: 'Resources') -> bool:
+        """Return whether this amount is free in full."""
+        return (
+            self.cpu_millicores <= free.cpu_millicores
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
+        )
+
+
+NO_RESOURCES = Resources()
--- /dev/null
+++ b/comfreywind/jobs/target_entry.py
@@ -0,0 +1,25 @@
+"""A target as it registers itself."""
+
+from dataclasses import dataclass
+
+from comfreywind.jobs.resources import Resources
+from comfreywind.settings.address import Address
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """One registered target; `born_ms` differs between two lives under the same id.
+
+    `labels` holds the kind and the rack of its VM.
+    """
+
+    target_id: str
+    pool: str
+    address: Address
+    data_centre: str
+    draining: bool
+    capacity: Resources
+    labels: frozenset[str]
+    born_ms: int
+    cold_left_ms: int = 0
+    remaining_ms: int | None = None
--- /dev/null
+++ b/comfreywind/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs on every VM of the system."""
--- /dev/null
+++ b/comfreywind/node/run.py
@@ -0,0 +1,105 @@
+"""Runs a node: serves callers and competes for the holder's term."""
+
+import logging
+import signal
+
+import trio
+
+from comfreywind.clock import Clock, SystemClock
+from comfreywind.http.server import serve_app
+from comfreywind.intake.job_app import JobApp
+from comfreywind.intake.job_store import JobStore
+from comfreywind.logs import configure_logs
+from comfreywind.node.ready_app import ReadyApp
+from comfreywind.platform.rows_client import RowsClient
+from comfreywind.scheduling.holder import Holder
+from comfreywind.scheduling.rules_follower import RulesFollower
+from comfreywind.scheduling.term_keeper import TermKeeper
+from comfreywind.settings.node import NodeSettings
+from comfreywind.signals import set_on_termination
+
+# A feed that waits is confirmed when it is answered, so the wait bounds how old the rules may be.
+FEED_WAIT_S = 0.7
+# The balancer asks once a second and takes a node out after two misses.
+READINESS_NOTICE_S = 2.4
+GRACEFUL_S = 2.0
+
+log = logging.getLogger('comfreywind.node')
+
+
+class Node:
+    """The parts of a node."""
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        """Wire the parts together."""
+        self._settings = settings
+        self._clock = clock
+        self._rows = RowsClient(settings.store_address, FEED_WAIT_S)
+        self._rules = RulesFollower(self._rows, clock)
+        self._keeper = TermKeeper(self._rows, settings.name, clock)
+        self._job_app = JobApp(self._rules, JobStore(self._rows), self._keeper, clock)
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Run until SIGTERM, then hand the term over and finish what is in flight."""
+        termination = trio.Event()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(set_on_termination, termination)
+            nursery.start_soon(note_reloads)
+            nursery.start_soon(self._rules.run)
+            nursery.start_soon(self._keeper.run)
+            nursery.start_soon(self._hold_terms)
+            await self._serve(termination)
+            nursery.cancel_scope.cancel()
+
+    def is_ready(self) -> bool:
+        """Return whether new connections are welcome."""
+        return not self._stopping and self._rules.is_fresh()
+
+    async def _serve(self, termination: trio.Event) -> None:
+        shutdown = trio.Event()
+        async with trio.open_nursery() as servers:
+            ready_app = ReadyApp(self.is_ready)
+            settings = self._settings
+            servers.start_soon(
+                serve_app, self._job_app, settings.caller_address, shutdown, GRACEFUL_S
+            )
+            servers.start_soon(serve_app, ready_app, settings.ready_address, shutdown, 0)
+            await termination.wait()
+            log.info('stopping: taken out of rotation')
+            self._stopping = True
+            await self._keeper.release()
+            await trio.sleep(READINESS_NOTICE_S)
+            shutdown.set()
+        log.info('stopped')
+
+    async def _hold_terms(self) -> None:
+        """Do the holder's work while this node has the term."""
+        while True:
+            term = self._keeper.held
+            if term is None:
+                await self._keeper.wait_for_change()
+                continue
+            await self._rules.wait_loaded()
+            holder = Holder(
+                term, self._settings, self._rows, self._rules, self._keeper, self._clock
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(holder.run)
+                while self._keeper.held is term:
+                    await self._keeper.wait_for_change()
+                nursery.cancel_scope.cancel()
+
+
+async def note_reloads() -> None:
+    """Log SIGHUP: the settings that can change while a node runs come from the store."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            log.info('SIGHUP: settings file may have changed; nothing in it is reloaded')
+
+
+async def run_node(settings: NodeSettings) -> None:
+    """Run a node with the clocks of the system."""
+    configure_logs('human')
+    log.info('node %s starts in %s', settings.name, settings.data_centre)
+    await Node(settings, SystemClock()).run()
--- /dev/null
+++ b/comfreywind/platform/caller_codec.py
@@ -0,0 +1,110 @@
+"""Decodes the jobs that callers hand in and names states as callers expect them."""
+
+import re
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from comfreywind.errors import JobRequestError
+from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.queue import Queue
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.step import Step
+
+JOB_ID_PATTERN = re.compile('[0-9a-f]{16}')
+SPEC_LIMIT = 4000
+STATE_WORDS = {
+    JobState.QUEUED: 'queued',
+    JobState.RUNNING: 'in_progress',
+    JobState.COMPLETE: 'complete',
+    JobState.FAILED: 'failed',
+    JobState.CANCELLED: 'cancelled',
+}
+
+
+class _Step(BaseModel):
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+    count: int = Field(default=1, ge=1, le=100_000)
+    cpu: int = Field(default=0, ge=0)
+    mem_mb: int = Field(default=0, ge=0)
+    gpu: int = Field(default=0, ge=0)
+    estimate_ms: int = Field(default=0, ge=0)
+    after: list[int] = Field(default_factory=list)
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    affinity: str = ''
+    max_per_server: int = Field(default=0, ge=0)
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: int = Field(default=0, ge=0)
+    # Despite its name a flag: the step takes what others leave.
+    fill_count: bool | int = False
+    max_unavailable: int = Field(default=0, ge=0)
+
+
+class _JobRequest(BaseModel):
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+    spec: str = Field(default='', max_length=SPEC_LIMIT)
+    steps: list[_Step] = Field(min_length=1)
+    repeat_count: int = Field(default=0, ge=0)
+    start_at_ms: int = Field(default=0, ge=0)
+    interval_ms: int = Field(default=0, ge=0)
+
+
+def decode_job_request(body: bytes, job_id: str, team: str, queue: Queue, accepted_ms: int) -> Job:
+    """Return the job of a request body; raise JobRequestError naming what is wrong in it."""
+    try:
+        request = _JobRequest.model_validate_json(body)
+    except ValidationError as error:
+        reasons = '; '.join(f'{_join(part["loc"])}: {part["msg"]}' for part in error.errors()[:3])
+        raise JobRequestError(f'the job is not valid: {reasons}') from error
+    steps = tuple(map(_decode_step, request.steps))
+    _check_order(steps)
+    return Job(
+        job_id=job_id,
+        team=team,
+        queue=queue,
+        spec=request.spec,
+        steps=steps,
+        accepted_ms=accepted_ms,
+        occurrence_count=request.repeat_count,
+        first_due_ms=request.start_at_ms,
+        interval_ms=request.interval_ms,
+    )
+
+
+def _join(location: tuple[int | str, ...]) -> str:
+    return '.'.join(map(str, location)) or 'body'
+
+
+def _check_order(steps: tuple[Step, ...]) -> None:
+    """Refuse a step that waits for itself or a later one: only earlier ones may be named."""
+    for number, step in enumerate(steps):
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise JobRequestError(f'steps.{number}.after: names a step that is not earlier')
+
+
+def _decode_step(step: _Step) -> Step:
+    return Step(
+        task_count=step.count,
+        request=Resources(step.cpu, step.mem_mb, step.gpu),
+        estimate_ms=step.estimate_ms,
+        after=tuple(step.after),
+        checkpointing=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        required_label=step.required_label,
+        preferred_rack=step.affinity,
+        target_limit=step.max_per_server,
+        speculative=step.speculative,
+        lasting=step.long_running,
+        image=step.image,
+        tail_limit_ms=step.target_ms,
+        filler=bool(step.fill_count),
+        unavailable_limit=step.max_unavailable,
+    )
--- /dev/null
+++ b/comfreywind/platform/rows_client.py
@@ -0,0 +1,149 @@
+"""Client of the users' table service."""
+
+import base64
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote
+
+from comfreywind.errors import (
+    HistoryLostError,
+    RowsChangedError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from comfreywind.http.client import HttpClient, HttpReply
+from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.stored_row import RowChange, RowPage, StoredRow
+from comfreywind.settings.address import Address
+
+CALL_TIMEOUT_S = 1.2
+# A feed is answered after `wait_s` at the latest; the rest is for the network and a slow store.
+FEED_MARGIN_S = 1.2
+PAGE_ROWS = 500
+MS_PER_S = 1000
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_CONFLICT = 412
+# With these nothing was done.
+STATUSES_REFUSED = frozenset((403, 429, 503, 507))
+
+
+class RowsClient:
+    """Reads rows and changes, and commits transactions."""
+
+    def __init__(self, address: Address, feed_wait_s: float) -> None:
+        """Prepare the clients; feeds have one of their own, because they wait for changes."""
+        self._client = HttpClient(address, CALL_TIMEOUT_S)
+        self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S)
+        self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
+
+    async def commit(self, part: str, changes: Sequence[RowChange]) -> int:
+        """Commit all changes to rows of one part or none; return the version they got.
+
+        Raises RowsChangedError when an expected version was not met and StoreRefusedError when the
+        store refused the call: nothing was written. Raises StoreUnavailableError when the outcome
+        is not known.
+        """
+        reply = await self._call('POST', '/v1/rows-tx', _encode_changes(part, changes))
+        if reply.status == STATUS_CONFLICT:
+            raise RowsChangedError(_decode_rows(reply.read_json()['rows']))
+        return int(_check(reply).read_json()['schema_ver'])
+
+    async def read_row(self, table: str, part: str, key: str) -> StoredRow:
+        """Return the row, with version 0 when it does not exist."""
+        bounds = f'&from={quote(key, safe="")}&to={quote(key, safe="")}%00&limit=1'
+        page = await self._read_page(table, part, bounds)
+        if page.rows:
+            return page.rows[0]
+        return StoredRow(table, part, key, None, 0)
+
+    async def read_part(self, table: str, part: str) -> RowPage:
+        """Return all rows of a part; the version is that of the first page."""
+        rows: list[StoredRow] = []
+        version: int | None = None
+        has_more = True
+        while has_more:
+            start = f'&from={quote(rows[-1].key, safe="")}%00' if rows else ''
+            page = await self._read_page(table, part, f'{start}&limit={PAGE_ROWS}')
+            rows.extend(page.rows)
+            has_more = page.has_more
+            version = page.version if version is None else version
+        return RowPage(tuple(rows), version or 0)
+
+    async def read_changes(self, table: str, after_version: int) -> RowPage:
+        """Return rows of the table that changed after the version, waiting for the first.
+
+        Raises HistoryLostError when the store no longer has that history.
+        """
+        path = (
+            f'/v1/rows-feed?table_name={quote(table, safe="")}'
+            f'&after={after_version}&wait_ms={self._feed_wait_ms}'
+        )
+        reply = await _call(self._feed_client, 'GET', path)
+        if reply.status == STATUS_GONE:
+            raise HistoryLostError(f'{table}: no history after version {after_version}')
+        return _decode_page(_check(reply).read_json())
+
+    async def _read_page(self, table: str, part: str, bounds: str) -> RowPage:
+        query = f'table_name={quote(table, safe="")}&part={quote(part, safe="")}{bounds}'
+        return _decode_page(_check(await self._call('GET', f'/v1/rows-get?{query}')).read_json())
+
+    async def _call(self, method: str, path: str, document: object | None = None) -> HttpReply:
+        return await _call(self._client, method, path, document)
+
+
+async def _call(
+    client: HttpClient, method: str, path: str, document: object | None = None
+) -> HttpReply:
+    try:
+        return await client.call(method, path, document)
+    except CALL_FAILURES as error:
+        raise StoreUnavailableError(f'{method} {path[:60]}: {error!r}') from error
+
+
+def _check(reply: HttpReply) -> HttpReply:
+    if reply.status in STATUSES_REFUSED:
+        raise StoreRefusedError(f'status {reply.status}')
+    if reply.status != STATUS_OK:
+        raise StoreUnavailableError(f'status {reply.status}: {reply.body[:200]!r}')
+    return reply
+
+
+def _encode_changes(part: str, changes: Sequence[RowChange]) -> dict[str, Any]:
+    rows = [
+        (change, {'table_name': change.table, 'part': part, 'key': change.key})
+        for change in changes
+    ]
+    return {
+        'expected_rev': [
+            {**row, 'schema_ver': change.expected_version}
+            for change, row in rows
+            if change.expected_version is not None
+        ],
+        'write': [
+            {**row, 'value': base64.b64encode(change.payload).decode()}
+            for change, row in rows
+            if change.payload is not None
+        ],
+        'remove': [row for change, row in rows if change.payload is None],
+    }
+
+
+def _decode_page(document: dict[str, Any]) -> RowPage:
+    rows = _decode_rows(document['rows'])
+    return RowPage(rows, int(document['schema_ver']), bool(document.get('has_more')))
+
+
+def _decode_rows(rows: list[dict[str, Any]]) -> tuple[StoredRow, ...]:
+    return tuple(map(_decode_row, rows))
+
+
+def _decode_row(row: dict[str, Any]) -> StoredRow:
+    encoded = None if row.get('deleted') else row.get('value')
+    return StoredRow(
+        str(row.get('table_name', '')),
+        str(row.get('part', '')),
+        str(row['key']),
+        None if encoded is None else base64.b64decode(encoded),
+        int(row.get('schema_ver', 0)),
+    )
--- /dev/null
+++ b/comfreywind/platform/target_client.py
@@ -0,0 +1,167 @@
+"""Calls one target: start, stop, hold and pace."""
+
+import json
+import logging
+from typing import Any
+
+from comfreywind.errors import TargetReplacedError, TargetSilentError
+from comfreywind.http.client import HttpClient, HttpReply
+from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
+from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.task_key import TaskKey, parse_task_key
+from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.wire import HEADER_INSTANCE
+from comfreywind.settings.address import Address
+
+ORDER_TIMEOUT_S = 0.8
+HOLD_MARGIN_S = 0.8
+# One for the long poll, the rest for orders; a new connection costs more than a call that waits.
+CONNECTION_LIMIT = 4
+MS_PER_S = 1000
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_REPLACED = 421
+ANSWERS_BY_STATUS = {
+    200: StartAnswer.STARTED,
+    400: StartAnswer.INVALID,
+    421: StartAnswer.REPLACED,
+    429: StartAnswer.UNHEALTHY,
+    503: StartAnswer.UNHEALTHY,
+}
+ANSWERS_BY_REASON = {
+    'fence': StartAnswer.FENCED,
+    'old': StartAnswer.SUPERSEDED,
+    'late': StartAnswer.EXPIRED,
+    'room': StartAnswer.NO_ROOM,
+    'ticket': StartAnswer.NO_TICKET,
+}
+
+log = logging.getLogger('comfreywind.targets')
+
+
+class TargetClient:
+    """Client of one life of a target; times are on the target's own clock."""
+
+    def __init__(self, target_id: str, address: Address, longest_wait_s: float) -> None:
+        """Prepare connections to the address."""
+        self._client = HttpClient(address, ORDER_TIMEOUT_S, CONNECTION_LIMIT)
+        self._hold_client = HttpClient(address, longest_wait_s + HOLD_MARGIN_S, 1)
+        self._headers = [(HEADER_INSTANCE, target_id.encode())]
+
+    async def start(
+        self,
+        key: TaskKey,
+        run_id: int,
+        spec: str,
+        fence: int,
+        expires_ms: int,
+        checkpoint: str = '',
+        ticket: str = '',
+    ) -> StartAnswer:
+        """Order a start; UNKNOWN when there was no answer, then it may still be carried out."""
+        order: dict[str, Any] = {
+            'task_id': str(key),
+            'run_id': run_id,
+            'spec': spec,
+            'expires_ms': expires_ms,
+            'fencing_token': fence,
+        }
+        order.update(
+            {name: text for name, text in (('checkpoint', checkpoint), ('ticket', ticket)) if text}
+        )
+        try:
+            reply = await self._client.call('POST', '/v1/run-start', order, self._headers)
+        except CALL_FAILURES as error:
+            log.info('start of %s run %d has no answer: %r', key, run_id, error)
+            return StartAnswer.UNKNOWN
+        if reply.status != STATUS_CONFLICT:
+            return ANSWERS_BY_STATUS.get(reply.status, StartAnswer.UNKNOWN)
+        return ANSWERS_BY_REASON.get(_read_reason(reply), StartAnswer.UNKNOWN)
+
+    async def stop(self, key: TaskKey, run_id: int, fence: int) -> bool:
+        """Order a stop; return whether the target confirmed it."""
+        order = {'task_id': str(key), 'run_id': run_id, 'fencing_token': fence}
+        return await self._order('/v1/run-stop', order)
+
+    async def pace(self, key: TaskKey, run_id: int, percent: int, fence: int) -> bool:
+        """Let a task work at a share of its pace; return whether the target confirmed it."""
+        order = {
+            'task_id': str(key),
+            'run_id': run_id,
+            'percent': percent,
+            'fencing_token': fence,
+        }
+        return await self._order('/v1/pace', order)
+
+    async def hold(
+        self, fence: int, last_seen: int, expires_ms: int | None, wait_ms: int
+    ) -> TargetReport | None:
+        """Extend the lease of all runs, acknowledge ends up to `last_seen` and return the lists.
+
+        Returns None when a holder with a higher fence has taken over. Raises TargetSilentError
+        without a usable answer and TargetReplacedError when another life answers.
+        """
+        order = {'fencing_token': fence, 'last_seen': last_seen}
+        if expires_ms is not None:
+            order['expires_ms'] = expires_ms
+        if wait_ms:
+            order['wait_ms'] = wait_ms
+        try:
+            reply = await self._hold_client.call('POST', '/v1/hold', order, self._headers)
+        except CALL_FAILURES as error:
+            raise TargetSilentError(f'hold: {error!r}') from error
+        if reply.status == STATUS_REPLACED:
+            raise TargetReplacedError('another life answers')
+        if reply.status == STATUS_CONFLICT:
+            return None
+        if reply.status != STATUS_OK:
+            raise TargetSilentError(f'hold: status {reply.status}')
+        return _decode_report(reply)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.close()
+        await self._hold_client.close()
+
+    async def _order(self, path: str, order: dict[str, Any]) -> bool:
+        try:
+            reply = await self._client.call('POST', path, order, self._headers)
+        except CALL_FAILURES as error:
+            log.info('%s of %s has no answer: %r', path, order['task_id'], error)
+            return False
+        return reply.status == STATUS_OK
+
+
+def _read_reason(reply: HttpReply) -> str:
+    try:
+        return str(reply.read_json().get('reason', ''))
+    except (ValueError, AttributeError) as error:
+        log.warning("answer of a target can't be read: %s", error)
+        return ''
+
+
+def _decode_report(reply: HttpReply) -> TargetReport:
+    try:
+        return _make_report(json.loads(reply.body))
+    except (ValueError, LookupError, TypeError) as error:
+        raise TargetSilentError(f"hold: answer can't be read: {error!r}") from error
+
+
+def _make_report(document: dict[str, Any]) -> TargetReport:
+    return TargetReport(
+        clock_ms=int(document['clock_ms']),
+        born_ms=int(document.get('born', 0)),
+        active=tuple(_decode_active(row) for row in document['active']),
+        ended=tuple(_decode_ended(row) for row in document['finished']),
+    )
+
+
+def _decode_active(row: list[Any]) -> ActiveRun:
+    level = float(row[4]) if len(row) > 4 else 0
+    return ActiveRun(parse_task_key(row[0]), int(row[1]), str(row[2]), int(row[3]), level)
+
+
+def _decode_ended(row: list[Any]) -> EndedRun:
+    return EndedRun(
+        int(row[0]), parse_task_key(row[1]), int(row[2]), RunOutcome(row[3]), str(row[4])
+    )
--- /dev/null
+++ b/comfreywind/platform/target_codec.py
@@ -0,0 +1,53 @@
+"""Decodes what targets register in the platform's store."""
+
+import logging
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from comfreywind.jobs.target_entry import TargetEntry
+from comfreywind.platform.amounts import Amounts
+from comfreywind.settings.address import AddressField
+
+STATES = frozenset(('ready', 'draining'))
+
+log = logging.getLogger('comfreywind.targets')
+
+
+class _Registration(BaseModel):
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+    service: str
+    address: AddressField
+    zone: str
+    state: str
+    capacity: Amounts
+    labels: list[str] = Field(default_factory=list)
+    born: int = 0
+    cold_left_ms: int = 0
+    remaining_ms: int | None = None
+
+
+def decode_target(target_id: str, payload: bytes) -> TargetEntry | None:
+    """Return the target, or None for an entry that another writer left and that names no target."""
+    try:
+        registration = _Registration.model_validate_json(payload)
+    except ValidationError as error:
+        log.info(
+            "entry of target %s can't be read and is ignored: %s", target_id, error.errors()[:2]
+        )
+        return None
+    if registration.state not in STATES:
+        log.info('entry of target %s is ignored: unknown state %r', target_id, registration.state)
+        return None
+    return TargetEntry(
+        target_id=target_id,
+        pool=registration.service,
+        address=registration.address,
+        data_centre=registration.zone,
+        draining=registration.state == 'draining',
+        capacity=registration.capacity.to_resources(),
+        labels=frozenset(registration.labels),
+        born_ms=registration.born,
+        cold_left_ms=registration.cold_left_ms,
+        remaining_ms=registration.remaining_ms,
+    )
--- /dev/null
+++ b/comfreywind/platform/vm_client.py
@@ -0,0 +1,90 @@
+"""Client of the users' VM service: the list of VMs, moves and upkeep."""
+
+import enum
+import logging
+from typing import Any
+
+from comfreywind.errors import StoreUnavailableError
+from comfreywind.http.client import HttpClient
+from comfreywind.jobs.vm import Vm
+from comfreywind.platform.amounts import Amounts
+from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.wire import HEADER_FENCE, HEADER_HOLDER
+from comfreywind.settings.address import Address
+
+CALL_TIMEOUT_S = 1.2
+STATUS_OK = 200
+
+log = logging.getLogger('comfreywind.vms')
+
+
+class VmOrderAnswer(enum.StrEnum):
+    """Answer to a move or an upkeep; UNKNOWN may still be carried out."""
+
+    DONE = 'done'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
+class VmClient:
+    """Reads the list of VMs and orders moves and upkeep under the holder's fence."""
+
+    def __init__(self, address: Address) -> None:
+        """Prepare connections to the address."""
+        self._client = HttpClient(address, CALL_TIMEOUT_S, 4)
+
+    async def read_vms(self) -> list[Vm]:
+        """Return all VMs; raise StoreUnavailableError when the list can't be read."""
+        vms: list[Vm] = []
+        token: str | None = ''
+        while token is not None:
+            query = f'?page_token={token}' if token else ''
+            document = await self._read(f'/v1/machines{query}')
+            vms.extend(_decode_vm(machine) for machine in document['machines'])
+            token = document.get('next_token') or None
+        return vms
+
+    async def move(self, vm: str, pool: str, holder: str, fence: int) -> VmOrderAnswer:
+        """Order a VM into another pool; everything that runs on it ends at once."""
+        return await self._order('/v1/machine-move', {'machine': vm, 'pool': pool}, holder, fence)
+
+    async def maintain(self, vm: str, wave: int, holder: str, fence: int) -> VmOrderAnswer:
+        """Order the upkeep of a VM; everything that runs on it ends at once."""
+        order = {'machine': vm, 'rollout_wave': wave}
+        return await self._order('/v1/machine-upkeep', order, holder, fence)
+
+    async def _read(self, path: str) -> dict[str, Any]:
+        try:
+            reply = await self._client.call('GET', path)
+        except CALL_FAILURES as error:
+            raise StoreUnavailableError(f'list of VMs: {error!r}') from error
+        if reply.status != STATUS_OK:
+            raise StoreUnavailableError(f'list of VMs: status {reply.status}')
+        document: dict[str, Any] = reply.read_json()
+        return document
+
+    async def _order(
+        self, path: str, order: dict[str, Any], holder: str, fence: int
+    ) -> VmOrderAnswer:
+        headers = [(HEADER_HOLDER, holder.encode()), (HEADER_FENCE, str(fence).encode())]
+        try:
+            reply = await self._client.call('POST', path, order, headers)
+        except CALL_FAILURES as error:
+            log.info('%s of %s has no answer: %r', path, order['machine'], error)
+            return VmOrderAnswer.UNKNOWN
+        if reply.status == STATUS_OK:
+            return VmOrderAnswer.DONE
+        log.info('%s of %s: %d %r', path, order['machine'], reply.status, reply.body[:80])
+        return VmOrderAnswer.REFUSED
+
+
+def _decode_vm(machine: dict[str, Any]) -> Vm:
+    return Vm(
+        name=str(machine['machine']),
+        pool=str(machine['pool']),
+        up=machine['state'] == 'up',
+        data_centre=str(machine.get('zone', '')),
+        labels=frozenset(machine.get('labels') or ()),
+        capacity=Amounts.model_validate(machine.get('capacity') or {}).to_resources(),
+        target_id=str(machine.get('id') or ''),
+    )
--- /dev/null
+++ b/comfreywind/platform/wave_codec.py
@@ -0,0 +1,34 @@
+"""Waves of upkeep: what the operator asks for and what it is told."""
+
+import json
+import logging
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from comfreywind.jobs.upkeep_wave import UpkeepWave
+
+log = logging.getLogger('comfreywind.upkeep')
+
+
+class _Wave(BaseModel):
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+    rollout_wave: int
+    machines: list[str] = Field(default_factory=list)
+    duration_s: float = 0
+    cap: int = 1
+
+
+def decode_wave(payload: bytes) -> UpkeepWave | None:
+    """Return the wave, or None with a log line when it can't be read."""
+    try:
+        wave = _Wave.model_validate_json(payload)
+    except ValidationError as error:
+        log.warning("wave can't be read and is ignored: %s", error.errors()[:2])
+        return None
+    return UpkeepWave(wave.rollout_wave, tuple(wave.machines), wave.cap, wave.duration_s)
+
+
+def encode_wave_state(complete: bool) -> bytes:
+    """Return the row that tells the operator how far a wave is."""
+    return json.dumps({'state': 'complete' if complete else 'in_progress'}).encode()
--- /dev/null
+++ b/comfreywind/scheduling/board.py
@@ -0,0 +1,537 @@
+"""The holder's picture of jobs, targets and runs, and the orders that follow from it.
+
+The board has no sockets and no clock of its own: the tasks around it tell it what they learn and
+send the orders that it returns. Times in seconds are on the holder's steady clock, times in
+milliseconds are since 1970.
+"""
+
+import logging
+from collections.abc import Iterable
+
+from comfreywind.decisions.scheduling.placement import TargetRoom, choose_target, find_request
+from comfreywind.decisions.scheduling.work_order import JobStanding, find_turn
+from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_rules import JobRules
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.resources import NO_RESOURCES, Resources
+from comfreywind.jobs.run_report import EndedRun, RunOutcome, TargetReport
+from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.step import Step
+from comfreywind.jobs.target_entry import TargetEntry
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.scheduling.job_record import JobRecord
+from comfreywind.scheduling.orders import Order, StartOrder, StopOrder
+from comfreywind.scheduling.run_record import RunRecord, RunState
+from comfreywind.scheduling.target_record import TargetRecord
+
+# Run ids of one term; a task that is started more often than that waits for the next term.
+RUNS_PER_TERM = 1_000
+# A target that fails several tasks in a row without a success fails whatever it is given.
+FAILURE_STREAK_LIMIT = 2
+BAR_AFTER_FAILURES_S = 4.0
+# How long a target gets no new work after it refused some.
+BAR_BY_ANSWER_S = {
+    StartAnswer.NO_ROOM: 0.15,
+    StartAnswer.UNHEALTHY: 1.0,
+    StartAnswer.INVALID: 1.0,
+}
+STATE_BY_ANSWER = {
+    StartAnswer.STARTED: RunState.RUNNING,
+    StartAnswer.UNKNOWN: RunState.UNCONFIRMED,
+}
+MS_PER_S = 1000
+NO_TARGETS: frozenset[str] = frozenset()
+
+log = logging.getLogger('comfreywind.board')
+
+
+class Board:
+    """Jobs, targets and runs of one term of a holder."""
+
+    def __init__(self, epoch: int) -> None:
+        """Start a term with nothing known."""
+        self.epoch = epoch
+        self.rules: JobRules = JobRules(0)
+        self.jobs: dict[str, JobRecord] = {}
+        self.open_jobs: dict[str, JobRecord] = {}
+        self.targets: dict[str, TargetRecord] = {}
+        self.team_use: dict[str, Resources] = {}
+        self.changed_jobs: dict[str, JobRecord] = {}
+        self.orphan_cancels: set[str] = set()
+
+    # What the store tells
+
+    def add_job(self, job: Job, progress: Progress, version: int, settled: bool) -> None:
+        """Take in an accepted job; a job that is known already is left as it is."""
+        if job.job_id in self.jobs:
+            return
+        record = JobRecord(job, progress, version, settled)
+        self.jobs[job.job_id] = record
+        if record.open:
+            self.open_jobs[job.job_id] = record
+        if job.job_id in self.orphan_cancels:
+            self.orphan_cancels.discard(job.job_id)
+            self.cancel_job(job.job_id)
+
+    def cancel_job(self, job_id: str) -> None:
+        """Note that the job's cancelling was accepted; its runs are stopped with the next plan."""
+        record = self.jobs.get(job_id)
+        if record is None:
+            self.orphan_cancels.add(job_id)
+            return
+        if record.open:
+            log.info('job %s: cancelled with %d runs', job_id, len(record.runs))
+            record.progress.state = JobState.CANCELLED
+            self._close_job(record)
+
+    def set_target(self, entry: TargetEntry, now_s: float) -> TargetRecord:
+        """Take in a target's registration; a new life under the same id has no runs."""
+        record = self.targets.get(entry.target_id)
+        if record is None:
+            record = TargetRecord(entry, born_ms=entry.born_ms)
+            self.targets[entry.target_id] = record
+            return record
+        if entry.born_ms > record.born_ms:
+            self.restart_target(record, entry.born_ms, now_s)
+        record.entry = entry
+        return record
+
+    # What targets tell
+
+    def restart_target(self, record: TargetRecord, born_ms: int, now_s: float) -> None:
+        """Note that the target has a new life, which knows nothing of the runs before."""
+        log.info('target %s: new life, %d runs lost', record.entry.target_id, len(record.runs))
+        record.born_ms = born_ms
+        record.applied_number = 0
+        record.stored_number = 0
+        record.failure_streak = 0
+        self.drop_runs(record, now_s)
+
+    def drop_runs(self, record: TargetRecord, now_s: float) -> None:
+        """Requeue everything that ran on a target that certainly runs nothing any more."""
+        for run in list(record.runs.values()):
+            self._forget_run(run)
+            self._requeue(run.key)
+        record.used = NO_RESOURCES
+
+    def apply_report(
+        self, record: TargetRecord, report: TargetReport, asked_s: float, now_s: float
+    ) -> list[Order]:
+        """Take in the lists of a target that were asked for at `asked_s`."""
+        if report.born_ms > record.born_ms:
+            self.restart_target(record, report.born_ms, now_s)
+        record.reported = True
+        record.silent = False
+        for ended in report.ended:
+            if ended.number > record.applied_number:
+                self._apply_end(record, ended, now_s)
+                record.applied_number = ended.number
+        orders: list[Order] = []
+        listed: set[TaskKey] = set()
+        for active in report.active:
+            listed.add(active.key)
+            orders.extend(self._apply_active(record, active.key, active.run_id, now_s))
+            run = record.runs.get(active.key)
+            if run is not None and run.run_id == active.run_id:
+                run.checkpoint = active.checkpoint or run.checkpoint
+                run.at_work = active.at_work_percent >= 100
+                run.level = active.level
+        orders.extend(self._find_missing(record, listed, asked_s, now_s))
+        return orders
+
+    def note_start(self, order: StartOrder, answer: StartAnswer, now_s: float) -> list[Order]:
+        """Take in the answer to a start."""
+        run = self._find_run(order.target_id, order.key, order.run_id)
+        if run is None:
+            return []
+        record = self.targets[order.target_id]
+        run.settled_s = now_s
+        next_state = STATE_BY_ANSWER.get(answer)
+        if next_state is not None:
+            run.state = next_state if run.state is RunState.STARTING else run.state
+            return []
+        log.info('task %s run %d: %s on %s', run.key, run.run_id, answer, order.target_id)
+        self._note_refusal(record, answer, now_s)
+        self._forget_run(run)
+        self._requeue(run.key)
+        return []
+
+    def note_stop(self, order: StopOrder, confirmed: bool, now_s: float) -> list[Order]:
+        """Take in the answer to a stop; a stop without one is repeated."""
+        run = self._find_run(order.target_id, order.key, order.run_id)
+        if run is None:
+            return []
+        if confirmed:
+            run.stop_confirmed = True
+            run.settled_s = now_s
+            return []
+        return [order]
+
+    # What follows
+
+    def plan(self, now_s: float, now_ms: float) -> list[Order]:
+        """Return the starts and stops that can be ordered now."""
+        orders: list[Order] = []
+        pending_by_pool: dict[str, list[JobRecord]] = {}
+        for record in self.open_jobs.values():
+            self._unlock_steps(record, now_ms)
+            if record.waiting and record.settled:
+                pending_by_pool.setdefault(self.find_pool(record), []).append(record)
+        for pool, records in pending_by_pool.items():
+            orders.extend(self._plan_pool(pool, records, now_s, now_ms))
+        return orders
+
+    def stop_job_runs(self, record: JobRecord, now_s: float) -> list[Order]:
+        """Return the stops of all runs of a job."""
+        orders: list[Order] = []
+        for run in list(record.runs.values()):
+            orders.extend(self.stop_run(run, now_s))
+        return orders
+
+    def stop_closed_jobs(self, now_s: float) -> list[Order]:
+        """Return the stops of runs whose jobs are closed."""
+        orders: list[Order] = []
+        for record in self.targets.values():
+            for run in list(record.runs.values()):
+                job = self.jobs.get(run.key.job_id)
+                if job is None or not job.open:
+                    orders.extend(self.stop_run(run, now_s))
+        return orders
+
+    def stop_run(self, run: RunRecord, now_s: float) -> list[Order]:
+        """Return the stop of a run unless it is being stopped already."""
+        if run.state is RunState.STOPPING:
+            return []
+        run.state = RunState.STOPPING
+        run.settled_s = now_s
+        return [StopOrder(run.target_id, run.key, run.run_id)]
+
+    def find_pool(self, record: JobRecord) -> str:
+        """Return the pool that runs the job by the rules in force."""
+        queue = self.rules.queues.get(record.job.queue.name, record.job.queue)
+        return queue.pool
+
+    def list_pool_targets(self, pool: str) -> list[TargetRecord]:
+        """Return the targets of a pool."""
+        return [record for record in self.targets.values() if record.entry.pool == pool]
+
+    def count_pending(self) -> dict[str, int]:
+        """Return for each queue how many accepted jobs have not begun."""
+        pending: dict[str, int] = {}
+        for record in self.open_jobs.values():
+            if record.progress.state is JobState.QUEUED and not record.job.occurrence_count:
+                queue = record.job.queue.name
+                pending[queue] = pending.get(queue, 0) + 1
+        return pending
+
+    def take_changed(self) -> list[JobRecord]:
+        """Return the jobs whose progress has changed since the last call."""
+        changed = list(self.changed_jobs.values())
+        self.changed_jobs.clear()
+        for record in changed:
+            record.changed = False
+        return changed
+
+    def mark_changed(self, record: JobRecord) -> None:
+        """Have the progress of the job stored."""
+        record.changed = True
+        self.changed_jobs[record.job.job_id] = record
+
+    def settle(self, records: Iterable[JobRecord]) -> None:
+        """Allow starts of jobs whose runs under an earlier holder are all accounted for."""
+        for record in records:
+            record.settled = True
+
+    # Inside
+
+    def _plan_pool(
+        self, pool: str, records: list[JobRecord], now_s: float, now_ms: float
+    ) -> list[Order]:
+        targets = [record for record in self.list_pool_targets(pool) if record.may_start(now_s)]
+        if not targets:
+            return []
+        orders: list[Order] = []
+        records.sort(key=lambda record: find_turn(self._describe(record), now_ms))
+        for record in records:
+            orders.extend(self._start_waiting(record, targets, now_s))
+        return orders
+
+    def _describe(self, record: JobRecord) -> JobStanding:
+        queue = self.rules.queues.get(record.job.queue.name, record.job.queue)
+        return JobStanding(
+            lasting=record.job.lasting,
+            excess=record.excess,
+            priority=queue.priority,
+            accepted_ms=max(record.job.accepted_ms, record.job.first_due_ms),
+            objective_ms=record.objective_ms,
+            remaining_ms=record.remaining_ms,
+        )
+
+    def _start_waiting(
+        self, record: JobRecord, targets: list[TargetRecord], now_s: float
+    ) -> list[Order]:
+        orders: list[Order] = []
+        blocked_steps: set[tuple[int, int]] = set()
+        for key in list(record.waiting):
+            step_key = (key.occurrence, key.step)
+            if step_key in blocked_steps:
+                continue
+            order = self._start_task(record, key, targets, now_s)
+            if order is None:
+                blocked_steps.add(step_key)
+                continue
+            record.waiting.remove(key)
+            orders.append(order)
+        return orders
+
+    def _start_task(
+        self, record: JobRecord, key: TaskKey, targets: list[TargetRecord], now_s: float
+    ) -> StartOrder | None:
+        step = record.job.steps[key.step]
+        if not self._is_below_ceiling(record.job.team, step.request):
+            return None
+        avoided = record.failed_on.get(key, NO_TARGETS)
+        same_step = self._count_same_step(record, key) if step.target_limit else {}
+        room = choose_target(
+            step,
+            (
+                TargetRoom(
+                    target.entry.target_id,
+                    target.free,
+                    target.entry.labels,
+                    same_step.get(target.entry.target_id, 0),
+                    target.entry.target_id in avoided,
+                )
+                for target in targets
+            ),
+        )
+        if room is None:
+            return None
+        run = self._make_run(record, key, room.target_id, now_s)
+        task = (key.occurrence, key.step, key.number)
+        checkpoint = record.progress.checkpoints.get(task, '') if step.checkpointing else ''
+        if record.progress.state is JobState.QUEUED:
+            record.set_state(JobState.RUNNING)
+            self.mark_changed(record)
+        return StartOrder(room.target_id, key, run.run_id, record.job.spec, checkpoint)
+
+    def _make_run(self, record: JobRecord, key: TaskKey, target_id: str, now_s: float) -> RunRecord:
+        step = record.job.steps[key.step]
+        run_id = record.last_run_ids.get(key, (self.epoch - 1) * RUNS_PER_TERM) + 1
+        record.last_run_ids[key] = run_id
+        run = RunRecord(
+            key,
+            run_id,
+            target_id,
+            record.job.team,
+            find_request(step),
+            step.request,
+            RunState.STARTING,
+            now_s,
+            now_s,
+        )
+        self._add_run(run, record)
+        return run
+
+    def _add_run(self, run: RunRecord, record: JobRecord | None) -> None:
+        self.targets[run.target_id].add_run(run)
+        self.team_use[run.team] = self.team_use.get(run.team, NO_RESOURCES).add(run.request)
+        if record is not None:
+            record.runs[run.key] = run
+
+    def _forget_run(self, run: RunRecord) -> None:
+        target = self.targets.get(run.target_id)
+        if target is None or target.runs.get(run.key) is not run:
+            return
+        target.remove_run(run)
+        self.team_use[run.team] = self.team_use[run.team].subtract(run.request)
+        record = self.jobs.get(run.key.job_id)
+        if record is not None and record.runs.get(run.key) is run:
+            del record.runs[run.key]
+            if run.checkpoint:
+                task = (run.key.occurrence, run.key.step, run.key.number)
+                record.progress.checkpoints[task] = run.checkpoint
+
+    def _requeue(self, key: TaskKey) -> None:
+        record = self.jobs.get(key.job_id)
+        if record is None or not record.open or record.is_done(key) or key in record.runs:
+            return
+        if key not in record.waiting:
+            record.waiting.append(key)
+
+    def _note_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
+        if answer is StartAnswer.REPLACED:
+            record.leaving = True
+            self.drop_runs(record, now_s)
+        bar_s = BAR_BY_ANSWER_S.get(answer, 0)
+        record.barred_until_s = max(record.barred_until_s, now_s + bar_s)
+
+    def _find_run(self, target_id: str, key: TaskKey, run_id: int) -> RunRecord | None:
+        target = self.targets.get(target_id)
+        run = None if target is None else target.runs.get(key)
+        return None if run is None or run.run_id != run_id else run
+
+    def _apply_end(self, target: TargetRecord, ended: EndedRun, now_s: float) -> None:
+        run = target.runs.get(ended.key)
+        record = self.jobs.get(ended.key.job_id)
+        if run is not None and run.run_id == ended.run_id:
+            run.checkpoint = ended.checkpoint or run.checkpoint
+            self._forget_run(run)
+        if record is not None:
+            self._note_outcome(record, target, ended, now_s)
+            self._requeue(ended.key)
+
+    def _note_outcome(
+        self, record: JobRecord, target: TargetRecord, ended: EndedRun, now_s: float
+    ) -> None:
+        lasting = record.job.steps[ended.key.step].lasting
+        if ended.outcome is RunOutcome.DONE and not lasting:
+            target.failure_streak = 0
+            if record.note_done(ended.key):
+                self._note_done(record, ended.key)
+        elif ended.outcome is RunOutcome.FAILED:
+            self._note_failure(record, target, ended, now_s)
+        else:
+            log.info(
+                'task %s run %d: %s on %s',
+                ended.key,
+                ended.run_id,
+                ended.outcome,
+                target.entry.target_id,
+            )
+
+    def _note_done(self, record: JobRecord, key: TaskKey) -> None:
+        if key in record.waiting:
+            record.waiting.remove(key)
+        if record.open and record.is_complete():
+            record.set_state(JobState.COMPLETE)
+            self._close_job(record)
+        self.mark_changed(record)
+
+    def _note_failure(
+        self, record: JobRecord, target: TargetRecord, ended: EndedRun, now_s: float
+    ) -> None:
+        key = ended.key
+        target.failure_streak += 1
+        record.failed_on.setdefault(key, set()).add(target.entry.target_id)
+        if target.failure_streak >= FAILURE_STREAK_LIMIT:
+            target.barred_until_s = now_s + BAR_AFTER_FAILURES_S
+        task = (key.occurrence, key.step, key.number)
+        failures = record.progress.failures.get(task, 0) + 1
+        log.info(
+            'task %s run %d: failed on %s, attempt %d',
+            key,
+            ended.run_id,
+            target.entry.target_id,
+            failures,
+        )
+        if record.job.steps[key.step].lasting:
+            return
+        record.progress.failures[task] = failures
+        if failures >= record.job.queue.attempt_limit and record.open:
+            record.set_state(JobState.FAILED)
+            self._close_job(record)
+        self.mark_changed(record)
+
+    def _apply_active(
+        self, target: TargetRecord, key: TaskKey, run_id: int, now_s: float
+    ) -> list[Order]:
+        run = target.runs.get(key)
+        if run is not None and run.run_id == run_id:
+            if run.state is RunState.UNCONFIRMED:
+                run.state = RunState.RUNNING
+            return []
+        if run is not None:
+            return []
+        return self._adopt(target, key, run_id, now_s)
+
+    def _adopt(self, target: TargetRecord, key: TaskKey, run_id: int, now_s: float) -> list[Order]:
+        """Take over a run of an earlier holder, or stop it when it should not be there."""
+        record = self.jobs.get(key.job_id)
+        if record is None or not _is_wanted(record, key):
+            log.info('task %s run %d is not wanted on %s', key, run_id, target.entry.target_id)
+            run = _make_adopted(target, key, run_id, now_s, Step(1, NO_RESOURCES), '')
+            self._add_run(run, None)
+            return self.stop_run(run, now_s)
+        step = record.job.steps[key.step]
+        self._add_run(_make_adopted(target, key, run_id, now_s, step, record.job.team), record)
+        record.last_run_ids[key] = max(run_id, record.last_run_ids.get(key, 0))
+        if key in record.waiting:
+            record.waiting.remove(key)
+        return []
+
+    def _find_missing(
+        self, target: TargetRecord, listed: set[TaskKey], asked_s: float, now_s: float
+    ) -> list[Order]:
+        """Settle runs that the report should show and does not."""
+        orders: list[Order] = []
+        for run in list(target.runs.values()):
+            if run.key in listed or run.settled_s >= asked_s:
+                continue
+            orders.extend(self._settle_missing(run, now_s))
+        return orders
+
+    def _settle_missing(self, run: RunRecord, now_s: float) -> list[Order]:
+        """Requeue a run that has gone; stop one whose start had no answer and may still come."""
+        if run.state is RunState.UNCONFIRMED:
+            return self.stop_run(run, now_s)
+        if run.state is RunState.RUNNING or run.stop_confirmed:
+            log.info('task %s run %d is gone from %s', run.key, run.run_id, run.target_id)
+            self._forget_run(run)
+            self._requeue(run.key)
+        return []
+
+    def _unlock_steps(self, record: JobRecord, now_ms: float) -> None:
+        for step_key in record.find_unlocked(now_ms, early_ms=0):
+            record.unlocked.add(step_key)
+            occurrence, number = step_key
+            for index in range(record.job.steps[number].task_count):
+                key = TaskKey(record.job.job_id, occurrence, number, index)
+                if not record.is_done(key) and key not in record.runs:
+                    record.waiting.append(key)
+
+    def _close_job(self, record: JobRecord) -> None:
+        record.waiting.clear()
+        self.open_jobs.pop(record.job.job_id, None)
+
+    def _is_below_ceiling(self, team_name: str, request: Resources) -> bool:
+        team = self.rules.teams.get(team_name)
+        if team is None:
+            return True
+        total = self.team_use.get(team_name, NO_RESOURCES).add(request)
+        ceiling = team.ceiling
+        return not (
+            0 < ceiling.cpu_millicores < total.cpu_millicores
+            or 0 < ceiling.memory_mb < total.memory_mb
+            or 0 < ceiling.accelerators < total.accelerators
+        )
+
+    def _count_same_step(self, record: JobRecord, key: TaskKey) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for run in record.runs.values():
+            if (run.key.occurrence, run.key.step) == (key.occurrence, key.step):
+                counts[run.target_id] = counts.get(run.target_id, 0) + 1
+        return counts
+
+
+def _is_wanted(record: JobRecord, key: TaskKey) -> bool:
+    if key.step >= len(record.job.steps) or key in record.runs:
+        return False
+    return record.open and not record.is_done(key)
+
+
+def _make_adopted(
+    target: TargetRecord, key: TaskKey, run_id: int, now_s: float, step: Step, team: str
+) -> RunRecord:
+    return RunRecord(
+        key,
+        run_id,
+        target.entry.target_id,
+        team,
+        find_request(step),
+        step.request,
+        RunState.RUNNING,
+        now_s,
+        now_s,
+    )
--- /dev/null
+++ b/comfreywind/scheduling/holder.py
@@ -0,0 +1,289 @@
+"""Schedules all pools while this node holds the term."""
+
+import logging
+
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.jobs.job_codec import RowFormatError, decode_job, decode_progress
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.tables import (
+    CANCEL_SUFFIX,
+    JOB_PARTS,
+    ROSTER_KEY,
+    TABLE_INTAKE,
+    TABLE_PROGRESS,
+    TABLE_TERM,
+    TERM_KEY,
+    TERM_PART,
+)
+from comfreywind.platform.rows_client import RowsClient
+from comfreywind.platform.stored_row import RowChange, StoredRow
+from comfreywind.platform.target_client import TargetClient
+from comfreywind.platform.target_codec import decode_target
+from comfreywind.platform.wire import TABLE_SERVERS
+from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.orders import Order
+from comfreywind.scheduling.progress_journal import ProgressJournal
+from comfreywind.scheduling.row_feed import RowFeed
+from comfreywind.scheduling.rules_follower import RulesFollower
+from comfreywind.scheduling.target_link import LONGEST_WAIT_S, RUN_LEASE_S, TargetLink
+from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
+from comfreywind.scheduling.term_row import decode_roster, encode_roster
+from comfreywind.settings.node import NodeSettings
+
+# Changes that come within this time are planned together.
+GATHER_S = 0.004
+TICK_S = 0.1
+RETRY_S = 0.2
+# After this time every run of an earlier holder has lapsed, on a clock that is 2 % slow.
+UNSEEN_LAPSE_S = RUN_LEASE_S * 1.02 + 0.5
+MS_PER_S = 1000
+
+log = logging.getLogger('comfreywind.holder')
+
+
+class Holder:
+    """The work of one term."""
+
+    def __init__(
+        self,
+        term: HeldTerm,
+        settings: NodeSettings,
+        rows: RowsClient,
+        rules: RulesFollower,
+        keeper: TermKeeper,
+        clock: Clock,
+    ) -> None:
+        """Prepare the term; nothing is read or ordered yet."""
+        self._term = term
+        self._settings = settings
+        self._rows = rows
+        self._rules = rules
+        self._keeper = keeper
+        self._clock = clock
+        self.board = Board(term.epoch)
+        self.journal = ProgressJournal(rows, self.board)
+        self._links: dict[str, TargetLink] = {}
+        self._nursery: trio.Nursery | None = None
+        self._wake = trio.Event()
+        self._old_progress: dict[str, tuple[Progress, int]] = {}
+        self._old_roster: frozenset[str] = frozenset()
+        self._stored_roster: frozenset[str] = frozenset()
+        self._roster_version = 0
+        self._settled = False
+
+    async def run(self) -> None:
+        """Load the state, adopt what runs, then plan until cancelled."""
+        await self._load()
+        intake = RowFeed(
+            self._rows, TABLE_INTAKE, JOB_PARTS, self._take_intake, self._take_jobs, self._clock
+        )
+        targets = RowFeed(
+            self._rows, TABLE_SERVERS, ('',), self._take_target, self._take_targets, self._clock
+        )
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self.journal.run)
+            nursery.start_soon(intake.run)
+            # Jobs come first: a run of a job that is not known would be stopped.
+            await intake.loaded.wait()
+            nursery.start_soon(targets.run)
+            await targets.loaded.wait()
+            log.info(
+                'term %d: %d jobs, %d targets',
+                self._term.epoch,
+                len(self.board.jobs),
+                len(self.board.targets),
+            )
+            nursery.start_soon(self._tick)
+            await self._plan_forever()
+
+    def publish(self, orders: list[Order]) -> None:
+        """Send orders and plan again soon."""
+        self._wake.set()
+        for order in orders:
+            link = self._links.get(order.target_id)
+            if link is not None and self._nursery is not None:
+                self._nursery.start_soon(link.send, order)
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                await self._read_progress()
+            except StoreUnavailableError as error:
+                log.info('term %d: state not read yet: %s', self._term.epoch, error)
+                await trio.sleep(RETRY_S)
+            else:
+                return
+
+    async def _read_progress(self) -> None:
+        for part in JOB_PARTS:
+            page = await self._rows.read_part(TABLE_PROGRESS, part)
+            for row in page.rows:
+                if row.payload is not None:
+                    self._old_progress[row.key] = (decode_progress(row.payload), row.version)
+        roster = await self._rows.read_row(TABLE_TERM, TERM_PART, ROSTER_KEY)
+        self._old_roster = decode_roster(roster.payload)
+        self._stored_roster = self._old_roster
+        self._roster_version = roster.version
+
+    # Jobs
+
+    def _take_jobs(self, rows: tuple[StoredRow, ...]) -> None:
+        for row in rows:
+            self._take_intake(row)
+
+    def _take_intake(self, row: StoredRow) -> None:
+        if row.payload is None:
+            return
+        if row.key.endswith(CANCEL_SUFFIX):
+            self.board.cancel_job(row.key.removesuffix(CANCEL_SUFFIX))
+            self._wake.set()
+            return
+        try:
+            job = decode_job(row.payload)
+        except RowFormatError as error:
+            log.warning('job %s is not read: %s', row.key, error)
+            return
+        # The progress row of a new job was written in the same transaction.
+        progress, version = self._old_progress.pop(row.key, (Progress(), row.version))
+        new = row.version > self._term.taken_version
+        self.board.add_job(job, progress, version, settled=new or self._settled)
+        self._wake.set()
+
+    # Targets
+
+    def _take_targets(self, rows: tuple[StoredRow, ...]) -> None:
+        listed = {row.key for row in rows}
+        for target_id, record in self.board.targets.items():
+            if target_id not in listed:
+                record.leaving = True
+        for row in rows:
+            self._take_target(row)
+
+    def _take_target(self, row: StoredRow) -> None:
+        record = self.board.targets.get(row.key)
+        if row.payload is None:
+            if record is not None:
+                log.info('target %s: its entry is gone', row.key)
+                record.leaving = True
+            return
+        entry = decode_target(row.key, row.payload)
+        if entry is None:
+            return
+        if record is None or record.entry != entry or record.leaving:
+            record = self.board.set_target(entry, self._clock.read_monotonic_s())
+            record.leaving = False
+            self._wake.set()
+        if row.key not in self._links:
+            self._start_link(row.key)
+
+    def _start_link(self, target_id: str) -> None:
+        record = self.board.targets[target_id]
+        if self._nursery is None:
+            return
+        link = TargetLink(
+            record,
+            TargetClient(target_id, record.entry.address, LONGEST_WAIT_S),
+            self.board,
+            self.journal,
+            self._keeper,
+            self._clock,
+            self._settings.timings.lease_limit_s,
+            self.publish,
+        )
+        self._links[target_id] = link
+        self._nursery.start_soon(self._run_link, target_id, link)
+
+    async def _run_link(self, target_id: str, link: TargetLink) -> None:
+        await link.run()
+        del self._links[target_id]
+        record = self.board.targets.get(target_id)
+        if record is not None and record.leaving and not record.runs:
+            del self.board.targets[target_id]
+
+    # Planning
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            self._keeper.own_pending = self.board.count_pending()
+            self._wake.set()
+
+    async def _plan_forever(self) -> None:
+        while True:
+            await self._wake.wait()
+            await trio.sleep(GATHER_S)
+            self._wake = trio.Event()
+            self._settle_old_jobs()
+            if self._keeper.is_valid() and await self._store_roster():
+                self._plan()
+
+    def _plan(self) -> None:
+        now_s = self._clock.read_monotonic_s()
+        now_ms = self._clock.read_utc().timestamp() * MS_PER_S
+        if self._rules.rules is not None:
+            self.board.rules = self._rules.rules
+        orders = self.board.stop_closed_jobs(now_s)
+        orders.extend(self.board.plan(now_s, now_ms))
+        if self.board.changed_jobs:
+            self.journal.wake()
+        for order in orders:
+            link = self._links.get(order.target_id)
+            if link is not None and self._nursery is not None:
+                self._nursery.start_soon(link.send, order)
+
+    def _settle_old_jobs(self) -> None:
+        """Allow starts of older jobs once no run of an earlier holder can be unseen."""
+        if self._settled:
+            return
+        waited_s = self._clock.read_monotonic_s() - self._term.taken_s
+        unseen = [target_id for target_id in self._old_roster if not self._is_reported(target_id)]
+        if unseen and waited_s < UNSEEN_LAPSE_S:
+            return
+        self._settled = True
+        self.board.settle(self.board.jobs.values())
+        log.info(
+            'term %d: settled after %.2f s, %d targets not seen',
+            self._term.epoch,
+            waited_s,
+            len(unseen),
+        )
+
+    def _is_reported(self, target_id: str) -> bool:
+        record = self.board.targets.get(target_id)
+        return record is not None and record.reported
+
+    async def _store_roster(self) -> bool:
+        """Store the targets that may get runs before the first run; return whether they are."""
+        roster = frozenset(
+            target_id
+            for target_id, record in self.board.targets.items()
+            if record.reported and (record.runs or not (record.leaving or record.silent))
+        )
+        if not self._settled:
+            roster |= self._old_roster
+        missing = roster - self._stored_roster
+        if not missing and len(self._stored_roster) <= 2 * len(roster) + 1:
+            return True
+        changes = [
+            RowChange(TABLE_TERM, ROSTER_KEY, encode_roster(roster), self._roster_version),
+        ]
+        try:
+            self._roster_version = await self._rows.commit(TERM_PART, changes)
+        except RowsChangedError as error:
+            self._note_roster(error.rows)
+            return False
+        except StoreUnavailableError as error:
+            log.info('roster is not stored: %s', error)
+            return False
+        self._stored_roster = roster
+        return True
+
+    def _note_roster(self, rows: tuple[StoredRow, ...]) -> None:
+        for row in rows:
+            if row.key != TERM_KEY:
+                self._roster_version = row.version
+                self._stored_roster = decode_roster(row.payload)
--- /dev/null
+++ b/comfreywind/scheduling/job_record.py
@@ -0,0 +1,105 @@
+"""A job as the holder knows it."""
+
+from dataclasses import dataclass, field
+
+from comfreywind.decisions.scheduling.work_order import find_chain_ms, find_objective_ms
+from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.scheduling.run_record import RunRecord
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """An open or finished job; `waiting` holds the tasks whose turn has come.
+
+    `settled` is false while a run of an earlier holder may exist that this one has not seen.
+    """
+
+    job: Job
+    progress: Progress
+    progress_version: int
+    settled: bool
+    excess: bool = False
+    waiting: list[TaskKey] = field(default_factory=list)
+    runs: dict[TaskKey, RunRecord] = field(default_factory=dict)
+    last_run_ids: dict[TaskKey, int] = field(default_factory=dict)
+    failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
+    restarts: dict[TaskKey, int] = field(default_factory=dict)
+    unlocked: set[tuple[int, int]] = field(default_factory=set)
+    left_in_step: dict[tuple[int, int], int] = field(default_factory=dict)
+    changed: bool = False
+    objective_ms: float = 0
+    remaining_ms: float = 0
+
+    def __post_init__(self) -> None:
+        """Work out what is left of each step."""
+        for occurrence in range(self.job.count_occurrences()):
+            for number, step in enumerate(self.job.steps):
+                self.left_in_step[occurrence, number] = step.task_count
+        for occurrence, number, _ in self.progress.done:
+            self.left_in_step[occurrence, number] -= 1
+        self.objective_ms = find_objective_ms(self.job)
+        self.update_remaining()
+
+    @property
+    def open(self) -> bool:
+        """Return whether work may still be started."""
+        return not self.progress.state.final
+
+    def note_done(self, key: TaskKey) -> bool:
+        """Count a task as done; return False when it was done before."""
+        task = (key.occurrence, key.step, key.number)
+        if task in self.progress.done:
+            return False
+        self.progress.done.add(task)
+        self.progress.checkpoints.pop(task, None)
+        self.left_in_step[key.occurrence, key.step] -= 1
+        self.changed = True
+        if not self.left_in_step[key.occurrence, key.step]:
+            self.update_remaining()
+        return True
+
+    def join(self, stored: Progress) -> None:
+        """Take in ends and failures that the store holds; both only ever grow."""
+        for occurrence, step, number in stored.done - self.progress.done:
+            self.progress.done.add((occurrence, step, number))
+            self.left_in_step[occurrence, step] -= 1
+        for task, count in stored.failures.items():
+            self.progress.failures[task] = max(count, self.progress.failures.get(task, 0))
+
+    def is_done(self, key: TaskKey) -> bool:
+        """Return whether an end `done` of the task is known."""
+        return (key.occurrence, key.step, key.number) in self.progress.done
+
+    def is_complete(self) -> bool:
+        """Return whether all tasks of all occurrences are done."""
+        return not any(self.left_in_step.values())
+
+    def find_unlocked(self, now_ms: float, early_ms: float) -> list[tuple[int, int]]:
+        """Return the steps whose turn has come and whose tasks are not yet in `waiting`."""
+        unlocked = []
+        for step_key in self.left_in_step:
+            if step_key in self.unlocked or not self.left_in_step[step_key]:
+                continue
+            occurrence, number = step_key
+            due = self.job.find_due_ms(occurrence) <= now_ms + early_ms
+            earlier = self.job.steps[number].after
+            if due and not any(self.left_in_step[occurrence, step] for step in earlier):
+                unlocked.append(step_key)
+        return unlocked
+
+    def update_remaining(self) -> None:
+        """Estimate the longest chain of work that is left."""
+        last = self.job.count_occurrences() - 1
+        done = frozenset(
+            number for number in range(len(self.job.steps)) if not self.left_in_step[last, number]
+        )
+        self.remaining_ms = find_chain_ms(self.job.steps, done)
+
+    def set_state(self, state: JobState) -> None:
+        """Change the state, to be stored."""
+        if self.progress.state is not state:
+            self.progress.state = state
+            self.changed = True
--- /dev/null
+++ b/comfreywind/scheduling/row_feed.py
@@ -0,0 +1,80 @@
+"""Follows the rows of one table of the store."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.errors import HistoryLostError, StoreUnavailableError
+from comfreywind.platform.rows_client import RowsClient
+from comfreywind.platform.stored_row import StoredRow
+
+RETRY_S = 0.2
+
+log = logging.getLogger('comfreywind.feed')
+
+TakeChange = Callable[[StoredRow], None]
+TakeWhole = Callable[[tuple[StoredRow, ...]], None]
+
+
+class RowFeed:
+    """Reads a table whole, then its changes; reads it whole again when history was dropped.
+
+    `confirmed_s` is when the last answer was asked for that showed the rows as they were then.
+    """
+
+    def __init__(
+        self,
+        rows: RowsClient,
+        table: str,
+        parts: Iterable[str],
+        take_change: TakeChange,
+        take_whole: TakeWhole,
+        clock: Clock,
+    ) -> None:
+        """Give each changed row to `take_change` and each whole reading to `take_whole`."""
+        self._rows = rows
+        self._table = table
+        self._parts = tuple(parts)
+        self._take_change = take_change
+        self._take_whole = take_whole
+        self._clock = clock
+        self.confirmed_s: float | None = None
+        self.loaded = trio.Event()
+
+    async def run(self) -> None:
+        """Follow the table for ever."""
+        version: int | None = None
+        while True:
+            try:
+                version = await self._read_next(version)
+            except HistoryLostError as error:
+                log.info('%s; reading the table again', error)
+                version = None
+            except StoreUnavailableError as error:
+                log.info('%s: %s', self._table, error)
+                await trio.sleep(RETRY_S)
+
+    async def _read_next(self, version: int | None) -> int:
+        asked_s = self._clock.read_monotonic_s()
+        if version is None:
+            return await self._read_whole(asked_s)
+        page = await self._rows.read_changes(self._table, version)
+        for row in page.rows:
+            self._take_change(row)
+        # A feed that waited showed the rows as they were when it was answered.
+        self.confirmed_s = asked_s if page.rows else self._clock.read_monotonic_s()
+        return page.version
+
+    async def _read_whole(self, asked_s: float) -> int:
+        rows: list[StoredRow] = []
+        versions: list[int] = []
+        for part in self._parts:
+            page = await self._rows.read_part(self._table, part)
+            rows.extend(page.rows)
+            versions.append(page.version)
+        self._take_whole(tuple(rows))
+        self.confirmed_s = asked_s
+        self.loaded.set()
+        return min(versions)
--- /dev/null
+++ b/comfreywind/scheduling/run_record.py
@@ -0,0 +1,41 @@
+"""A run of a task as the holder knows it."""
+
+import enum
+from dataclasses import dataclass
+
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.task_key import TaskKey
+
+
+class RunState(enum.StrEnum):
+    """State of a run; it takes room in all of them."""
+
+    STARTING = 'starting'
+    UNCONFIRMED = 'unconfirmed'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """A run on a target.
+
+    `settled_s` is when the last order about the run was answered: a report that was asked for later
+    shows the run if it is there.
+    """
+
+    key: TaskKey
+    run_id: int
+    target_id: str
+    team: str
+    room: Resources
+    request: Resources
+    state: RunState
+    settled_s: float
+    started_s: float
+    stop_confirmed: bool = False
+    checkpoint: str = ''
+    at_work: bool = False
+    level: float = 0
+    pace_percent: int = 100
+    idle_since_s: float | None = None
--- /dev/null
+++ b/comfreywind/scheduling/target_link.py
@@ -0,0 +1,198 @@
+"""Owns the connections to one target: extends its lease, reads its lists, sends orders."""
+
+import logging
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.errors import TargetReplacedError, TargetSilentError
+from comfreywind.jobs.run_report import TargetReport
+from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.platform.target_client import TargetClient
+from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.orders import Order, PaceOrder, StartOrder, StopOrder
+from comfreywind.scheduling.progress_journal import ProgressJournal
+from comfreywind.scheduling.target_record import TargetRecord
+from comfreywind.scheduling.term_keeper import TermKeeper
+
+# Long enough to outlast a change of the holder, short enough that the work of a lost target soon
+# starts elsewhere.
+RUN_LEASE_S = 5.0
+# The clock of a target may be 2 % slow; the rest is for the way of the order.
+CLOCK_DRIFT_RATIO = 1.02
+LEASE_MARGIN_S = 0.4
+LONGEST_WAIT_S = 1.0
+# A target without runs is looked at less often; only its lists after a silence matter.
+IDLE_LOOK_S = 2.5
+SILENT_RETRY_S = 0.3
+STORE_WAIT_S = 0.25
+STOP_RETRY_S = 0.3
+MS_PER_S = 1000
+
+log = logging.getLogger('comfreywind.targets')
+
+
+class TargetLink:
+    """The task of one target."""
+
+    def __init__(
+        self,
+        record: TargetRecord,
+        client: TargetClient,
+        board: Board,
+        journal: ProgressJournal,
+        keeper: TermKeeper,
+        clock: Clock,
+        lease_limit_s: float,
+        publish: Callable[[list[Order]], None],
+    ) -> None:
+        """Serve the target of the record; `publish` takes orders that follow from its reports."""
+        self._record = record
+        self._client = client
+        self._board = board
+        self._journal = journal
+        self._keeper = keeper
+        self._clock = clock
+        self._lease_s = min(RUN_LEASE_S, lease_limit_s)
+        self._publish = publish
+        self._clock_offset_ms: float | None = None
+        self._wake = trio.Event()
+
+    async def run(self) -> None:
+        """Hold the target's lease until the target is gone or another holder has taken over."""
+        target_id = self._record.entry.target_id
+        try:
+            while await self._look():
+                await self._pause()
+        except TargetReplacedError as error:
+            log.info('target %s: %s', target_id, error)
+            self._record.leaving = True
+            self._board.drop_runs(self._record, self._clock.read_monotonic_s())
+            self._publish([])
+        finally:
+            with trio.CancelScope(shield=True), trio.move_on_after(0.1):
+                await self._client.close()
+
+    def wake(self) -> None:
+        """Have the target looked at soon, because it has new runs."""
+        self._wake.set()
+
+    async def send(self, order: Order) -> None:
+        """Send an order and tell the board what came of it."""
+        self._publish(await self._send(order))
+
+    @singledispatchmethod
+    async def _send(self, order: Order) -> list[Order]:
+        raise TypeError(f'unknown order {order!r}')
+
+    @_send.register
+    async def _send_start(self, order: StartOrder) -> list[Order]:
+        expires_ms = self._find_expiry_ms()
+        if expires_ms is None or not self._keeper.is_valid():
+            return self._board.note_start(
+                order, StartAnswer.EXPIRED, self._clock.read_monotonic_s()
+            )
+        answer = await self._client.start(
+            order.key,
+            order.run_id,
+            order.spec,
+            self._board.epoch,
+            expires_ms,
+            order.checkpoint,
+            order.ticket,
+        )
+        if answer is StartAnswer.FENCED:
+            self._keeper.depose(f'target {order.target_id} has a higher fence')
+        self._wake.set()
+        return self._board.note_start(order, answer, self._clock.read_monotonic_s())
+
+    @_send.register
+    async def _send_stop(self, order: StopOrder) -> list[Order]:
+        confirmed = False
+        if self._keeper.is_valid():
+            confirmed = await self._client.stop(order.key, order.run_id, self._board.epoch)
+        if not confirmed:
+            await trio.sleep(STOP_RETRY_S)
+        self._wake.set()
+        return self._board.note_stop(order, confirmed, self._clock.read_monotonic_s())
+
+    @_send.register
+    async def _send_pace(self, order: PaceOrder) -> list[Order]:
+        if self._keeper.is_valid():
+            await self._client.pace(order.key, order.run_id, order.percent, self._board.epoch)
+        return []
+
+    async def _look(self) -> bool:
+        """Ask for the lists once; return False when the link has to end."""
+        asked_s = self._clock.read_monotonic_s()
+        expires_ms = self._find_expiry_ms() if self._keeper.is_valid() else None
+        wait_ms = self._find_wait_ms()
+        try:
+            report = await self._client.hold(
+                self._board.epoch, self._record.stored_number, expires_ms, wait_ms
+            )
+        except TargetSilentError as error:
+            return self._note_silence(error)
+        if report is None:
+            self._keeper.depose(f'target {self._record.entry.target_id} has a higher fence')
+            return False
+        self._note_report(report, asked_s)
+        return True
+
+    def _note_report(self, report: TargetReport, asked_s: float) -> None:
+        now_s = self._clock.read_monotonic_s()
+        self._clock_offset_ms = report.clock_ms - now_s * MS_PER_S
+        orders = self._board.apply_report(self._record, report, asked_s, now_s)
+        if self._record.applied_number > self._record.stored_number:
+            self._journal.wake()
+        self._publish(orders)
+
+    def _note_silence(self, error: TargetSilentError) -> bool:
+        record = self._record
+        if not record.silent:
+            log.info('target %s: %s', record.entry.target_id, error)
+        record.silent = True
+        now_s = self._clock.read_monotonic_s()
+        if now_s < record.lease_end_s:
+            return True
+        if record.runs:
+            log.info('target %s: %d runs have lapsed', record.entry.target_id, len(record.runs))
+            self._board.drop_runs(record, now_s)
+            self._publish([])
+        return not record.leaving
+
+    async def _pause(self) -> None:
+        record = self._record
+        if record.silent:
+            await trio.sleep(SILENT_RETRY_S)
+            return
+        if record.applied_number > record.stored_number:
+            await self._journal.wait_stored(STORE_WAIT_S)
+            return
+        if record.runs:
+            return
+        self._wake = trio.Event()
+        with trio.move_on_after(IDLE_LOOK_S):
+            await self._wake.wait()
+
+    def _find_wait_ms(self) -> int:
+        record = self._record
+        first = self._clock_offset_ms is None or not record.reported
+        if first or record.silent or not record.runs:
+            return 0
+        if record.applied_number > record.stored_number:
+            return 0
+        if any(run.state.value != 'running' for run in record.runs.values()):
+            return int(LONGEST_WAIT_S * MS_PER_S / 5)
+        return int(LONGEST_WAIT_S * MS_PER_S)
+
+    def _find_expiry_ms(self) -> int | None:
+        """Return the end of a full lease on the target's clock and note when it has lapsed."""
+        if self._clock_offset_ms is None:
+            return None
+        now_s = self._clock.read_monotonic_s()
+        end_s = now_s + self._lease_s * CLOCK_DRIFT_RATIO + LEASE_MARGIN_S
+        self._record.lease_end_s = max(self._record.lease_end_s, end_s)
+        return int(now_s * MS_PER_S + self._clock_offset_ms + self._lease_s * MS_PER_S)
--- /dev/null
+++ b/comfreywind/scheduling/target_record.py
@@ -0,0 +1,51 @@
+"""A target as the holder knows it."""
+
+from dataclasses import dataclass, field
+
+from comfreywind.jobs.resources import NO_RESOURCES, Resources
+from comfreywind.jobs.target_entry import TargetEntry
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.scheduling.run_record import RunRecord
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """What runs on a target and how well it answers; times on the holder's steady clock.
+
+    `applied_number` is the highest end that the holder has seen, `stored_number` the highest whose
+    consequences the store holds. `lease_end_s` is when everything there has certainly lapsed.
+    """
+
+    entry: TargetEntry
+    runs: dict[TaskKey, RunRecord] = field(default_factory=dict)
+    used: Resources = NO_RESOURCES
+    born_ms: int = 0
+    applied_number: int = 0
+    stored_number: int = 0
+    reported: bool = False
+    silent: bool = False
+    lease_end_s: float = 0
+    barred_until_s: float = 0
+    failure_streak: int = 0
+    leaving: bool = False
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that is left."""
+        return self.entry.capacity.subtract(self.used)
+
+    def may_start(self, now_s: float) -> bool:
+        """Return whether new work may be given to the target."""
+        unavailable = self.entry.draining or self.leaving or self.silent or not self.reported
+        return not unavailable and now_s >= self.barred_until_s
+
+    def add_run(self, run: RunRecord) -> None:
+        """Count a run against the room."""
+        self.runs[run.key] = run
+        self.used = self.used.add(run.room)
+
+    def remove_run(self, run: RunRecord) -> None:
+        """Free the room of a run."""
+        if self.runs.get(run.key) is run:
+            del self.runs[run.key]
+            self.used = self.used.subtract(run.room)
--- /dev/null
+++ b/comfreywind/scheduling/term_row.py
@@ -0,0 +1,48 @@
+"""The row by which a holder has its term, with the figures that all nodes read from it."""
+
+from dataclasses import dataclass, field
+
+import msgpack
+
+from comfreywind.jobs.job_codec import RowFormatError
+
+
+@dataclass(frozen=True, slots=True)
+class TermRow:
+    """Holder, epoch and renewal count; `pending` counts the jobs of each queue not begun.
+
+    `refused` holds the queues that take no jobs now, with the seconds until a retry can help.
+    """
+
+    holder: str
+    epoch: int
+    renewal: int = 0
+    released: bool = False
+    pending: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, float] = field(default_factory=dict)
+
+
+def encode_term(row: TermRow) -> bytes:
+    """Return the value of the row."""
+    fields = [row.holder, row.epoch, row.renewal, row.released, row.pending, row.refused]
+    packed: bytes = msgpack.packb(fields)
+    return packed
+
+
+def decode_term(payload: bytes) -> TermRow:
+    """Return the row; raise RowFormatError when it can't be read."""
+    try:
+        return TermRow(*msgpack.unpackb(payload))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise RowFormatError(f'row of the term: {error}') from error
+
+
+def encode_roster(target_ids: frozenset[str]) -> bytes:
+    """Return the row that names the targets which may have runs."""
+    packed: bytes = msgpack.packb(sorted(target_ids))
+    return packed
+
+
+def decode_roster(payload: bytes | None) -> frozenset[str]:
+    """Return the targets that may have runs."""
+    return frozenset(msgpack.unpackb(payload)) if payload else frozenset()
