Carry out upkeep waves within the availability budgets of lasting steps

One change: the holder empties VMs of a wave, orders their upkeep within the wave's limit, moves lasting tasks that crowd one VM, and tells the operator how far the wave is. Ruled out: ordering without emptying (work thrown away), one VM at a time (misses the wave).

--- a/comfreywind/decisions/scheduling/placement.py
+++ b/comfreywind/decisions/scheduling/placement.py
@@ -28,6 +28,7 @@
 def choose_target(step: Step, rooms: Iterable[TargetRoom]) -> TargetRoom | None:
     """Return the target for one task of the step, or None when none fits.
 
+    Tasks of a step that bears few losses are spread, so that one VM can go down with its task.
     The rack of the step's data comes first, then the target with the least free processor time:
     tasks are packed, so that large tasks and moves of VMs find whole targets free.
     """
@@ -46,6 +47,7 @@
     return request.fits(room.free)
 
 
-def _find_cost(step: Step, room: TargetRoom) -> tuple[bool, bool, int, str]:
+def _find_cost(step: Step, room: TargetRoom) -> tuple[bool, int, bool, int, str]:
     remote = bool(step.preferred_rack) and step.preferred_rack not in room.labels
-    return (room.avoided, remote, room.free.cpu_millicores, room.target_id)
+    crowd = room.same_step if step.unavailable_limit else 0
+    return (room.avoided, crowd, remote, room.free.cpu_millicores, room.target_id)
--- /dev/null
+++ b/comfreywind/decisions/scheduling/upkeep.py
@@ -0,0 +1,74 @@
+"""Which VMs of a wave are emptied next, and which may go down now."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+# Part of a pool that may be kept free of new work for a wave at the same time; at least one VM.
+POOL_SHARE = 0.26
+# A VM whose short tasks take longer than this goes down all the same, while the wave has time.
+EMPTY_WAIT_S = 3.0
+# Near the end of a wave a VM no longer waits for its tasks.
+LAST_CALL_S = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class WaveVm:
+    """A VM that is due; `work` is how much would be lost, `blocked` that a step can't bear it."""
+
+    name: str
+    pool: str
+    up: bool
+    emptying: bool
+    emptying_for_s: float
+    work: int
+    blocked: bool
+
+
+def choose_emptying(
+    vms: Collection[WaveVm], pool_sizes: dict[str, int], limit: int
+) -> list[WaveVm]:
+    """Return further VMs that get no new work, those with the least work first."""
+    emptying = [vm for vm in vms if vm.emptying]
+    by_pool: dict[str, int] = {}
+    for vm in emptying:
+        by_pool[vm.pool] = by_pool.get(vm.pool, 0) + 1
+    chosen: list[WaveVm] = []
+    candidates = (vm for vm in vms if vm.up and not vm.emptying)
+    for vm in sorted(candidates, key=lambda candidate: (candidate.work, candidate.name)):
+        if len(emptying) + len(chosen) >= limit:
+            break
+        share = max(1, int(pool_sizes.get(vm.pool, 0) * POOL_SHARE))
+        if by_pool.get(vm.pool, 0) < share:
+            by_pool[vm.pool] = by_pool.get(vm.pool, 0) + 1
+            chosen.append(vm)
+    return chosen
+
+
+def may_go_down(vm: WaveVm, left_s: float) -> bool:
+    """Return whether the upkeep of a VM that is being emptied may be ordered now."""
+    if not vm.up or not vm.emptying or vm.blocked:
+        return False
+    return not vm.work or vm.emptying_for_s >= EMPTY_WAIT_S or left_s < LAST_CALL_S
+
+
+@dataclass(frozen=True, slots=True)
+class StepHealth:
+    """Tasks of a lasting step: which VMs have some at work, and how many are away."""
+
+    limit: int
+    away: int
+    at_work_on: dict[str, int]
+
+
+def is_blocked(vm_target: str, steps: Iterable[StepHealth]) -> bool:
+    """Return whether ending what runs on the target would leave a step with too many away.
+
+    A step without a limit bears any loss.
+    """
+    return any(
+        step.limit and vm_target in step.at_work_on and _breaks(step, vm_target) for step in steps
+    )
+
+
+def _breaks(step: StepHealth, vm_target: str) -> bool:
+    return step.away + step.at_work_on[vm_target] > step.limit
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from comfreywind.decisions.scheduling.placement import TargetRoom, choose_target, find_request
+from comfreywind.decisions.scheduling.upkeep import StepHealth
 from comfreywind.decisions.scheduling.work_order import JobStanding, find_turn
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
@@ -225,6 +226,44 @@
                 pending[queue] = pending.get(queue, 0) + 1
         return pending
 
+    def count_short_runs(self, target: TargetRecord) -> int:
+        """Return how many runs on the target end by themselves."""
+        return sum(not self._is_lasting(run.key) for run in target.runs.values())
+
+    def list_step_health(self, target: TargetRecord) -> list[StepHealth]:
+        """Return the health of the lasting steps that have tasks on the target."""
+        steps = {
+            (run.key.job_id, run.key.occurrence, run.key.step)
+            for run in target.runs.values()
+            if self._is_lasting(run.key)
+        }
+        return [self._read_step_health(*step) for step in steps]
+
+    def note_order(self, target: TargetRecord) -> None:
+        """Count what runs on the target as away, because the VM is ordered down or elsewhere."""
+        target.emptying = True
+        for run in target.runs.values():
+            run.at_work = False
+
+    def evict_crowded(self, target: TargetRecord, now_s: float) -> list[Order]:
+        """Return stops of lasting tasks that keep a VM from going down, one of each step.
+
+        A VM with more tasks of a step than may be away can't go down at once with all of them.
+        """
+        orders: list[Order] = []
+        evicted: set[tuple[str, int, int]] = set()
+        for run in list(target.runs.values()):
+            step_key = (run.key.job_id, run.key.occurrence, run.key.step)
+            if step_key in evicted or not run.at_work or not self._is_lasting(run.key):
+                continue
+            health = self._read_step_health(*step_key)
+            crowded = health.at_work_on[target.entry.target_id] > health.limit > 0
+            if crowded and health.away < health.limit:
+                evicted.add(step_key)
+                run.at_work = False
+                orders.extend(self.stop_run(run, now_s))
+        return orders
+
     def take_changed(self) -> list[JobRecord]:
         """Return the jobs whose progress has changed since the last call."""
         changed = list(self.changed_jobs.values())
@@ -292,7 +331,8 @@
         if not self._is_below_ceiling(record.job.team, step.request):
             return None
         avoided = record.failed_on.get(key, NO_TARGETS)
-        same_step = self._count_same_step(record, key) if step.target_limit else {}
+        spread = step.target_limit or step.unavailable_limit
+        same_step = self._count_same_step(record, key) if spread else {}
         room = choose_target(
             step,
             (
@@ -334,6 +374,20 @@
         self._add_run(run, record)
         return run
 
+    def _is_lasting(self, key: TaskKey) -> bool:
+        record = self.jobs.get(key.job_id)
+        return record is not None and record.open and record.job.steps[key.step].lasting
+
+    def _read_step_health(self, job_id: str, occurrence: int, number: int) -> StepHealth:
+        record = self.jobs[job_id]
+        step = record.job.steps[number]
+        at_work_on: dict[str, int] = {}
+        for run in record.runs.values():
+            if (run.key.occurrence, run.key.step) == (occurrence, number) and run.at_work:
+                at_work_on[run.target_id] = at_work_on.get(run.target_id, 0) + 1
+        away = step.task_count - sum(at_work_on.values())
+        return StepHealth(step.unavailable_limit, away, at_work_on)
+
     def _add_run(self, run: RunRecord, record: JobRecord | None) -> None:
         self.targets[run.target_id].add_run(run)
         self.team_use[run.team] = self.team_use.get(run.team, NO_RESOURCES).add(run.request)
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -22,6 +22,7 @@
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.platform.target_codec import decode_target
+from comfreywind.platform.vm_client import VmClient
 from comfreywind.platform.wire import TABLE_SERVERS
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.orders import Order
@@ -31,6 +32,8 @@
 from comfreywind.scheduling.target_link import LONGEST_WAIT_S, RUN_LEASE_S, TargetLink
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.term_row import decode_roster, encode_roster
+from comfreywind.scheduling.upkeep_keeper import UpkeepKeeper
+from comfreywind.settings.address import Address
 from comfreywind.settings.node import NodeSettings
 
 # Changes that come within this time are planned together.
@@ -98,6 +101,8 @@
                 len(self.board.targets),
             )
             nursery.start_soon(self._tick)
+            if self._settings.vm_service_address is not None:
+                nursery.start_soon(self._make_upkeep(self._settings.vm_service_address).run)
             await self._plan_forever()
 
     def publish(self, orders: list[Order]) -> None:
@@ -129,6 +134,20 @@
         self._stored_roster = self._old_roster
         self._roster_version = roster.version
 
+    def _make_upkeep(self, address: Address) -> UpkeepKeeper:
+        return UpkeepKeeper(
+            self._term,
+            self._settings.name,
+            self._settings.timings.order_turn_s,
+            self._rows,
+            VmClient(address),
+            self._rules,
+            self._keeper,
+            self.board,
+            self._clock,
+            self.publish,
+        )
+
     # Jobs
 
     def _take_jobs(self, rows: tuple[StoredRow, ...]) -> None:
--- a/comfreywind/scheduling/rules_follower.py
+++ b/comfreywind/scheduling/rules_follower.py
@@ -27,6 +27,7 @@
         self._feed = RowFeed(rows, TABLE_OPERATOR, ('',), self._take_row, self._take_rows, clock)
         self.rules: JobRules | None = None
         self.waves: dict[int, UpkeepWave] = {}
+        self._wave_end_s: dict[int, float] = {}
 
     async def run(self) -> None:
         """Follow the table for ever."""
@@ -43,6 +44,10 @@
             return False
         return self._clock.read_monotonic_s() - confirmed_s < STALE_S
 
+    def find_wave_end_s(self, wave: int) -> float:
+        """Return when the wave should be complete, by the time this node first saw it."""
+        return self._wave_end_s[wave]
+
     def _take_rows(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
             self._take_row(row)
@@ -55,7 +60,12 @@
         elif row.key.startswith(PREFIX_WAVE):
             wave = decode_wave(row.payload)
             if wave is not None:
-                self.waves[wave.wave] = wave
+                self._take_wave(wave)
+
+    def _take_wave(self, wave: UpkeepWave) -> None:
+        end_s = self._clock.read_monotonic_s() + wave.duration_s
+        self._wave_end_s.setdefault(wave.wave, end_s)
+        self.waves[wave.wave] = wave
 
     def _take_rules(self, payload: bytes) -> None:
         rules = decode_rules(payload)
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -28,6 +28,7 @@
     barred_until_s: float = 0
     failure_streak: int = 0
     leaving: bool = False
+    emptying: bool = False
 
     @property
     def free(self) -> Resources:
@@ -36,8 +37,9 @@
 
     def may_start(self, now_s: float) -> bool:
         """Return whether new work may be given to the target."""
-        unavailable = self.entry.draining or self.leaving or self.silent or not self.reported
-        return not unavailable and now_s >= self.barred_until_s
+        unavailable = self.entry.draining or self.leaving or self.emptying
+        unheard = self.silent or not self.reported
+        return not (unavailable or unheard) and now_s >= self.barred_until_s
 
     def add_run(self, run: RunRecord) -> None:
         """Count a run against the room."""
--- /dev/null
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -0,0 +1,247 @@
+"""Carries out the waves of upkeep that the operator asks for."""
+
+import logging
+from collections.abc import Callable
+
+import trio
+
+from comfreywind.clock import Clock
+from comfreywind.decisions.scheduling.upkeep import (
+    StepHealth,
+    WaveVm,
+    choose_emptying,
+    is_blocked,
+    may_go_down,
+)
+from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.jobs.tables import TABLE_TERM, TERM_PART
+from comfreywind.jobs.upkeep_wave import UpkeepWave
+from comfreywind.jobs.vm import Vm
+from comfreywind.platform.rows_client import RowsClient
+from comfreywind.platform.stored_row import RowChange
+from comfreywind.platform.vm_client import VmClient, VmOrderAnswer
+from comfreywind.platform.wave_codec import encode_wave_state
+from comfreywind.platform.wire import PREFIX_WAVE, TABLE_STATUS
+from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.orders import Order
+from comfreywind.scheduling.rules_follower import RulesFollower
+from comfreywind.scheduling.target_record import TargetRecord
+from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
+from comfreywind.scheduling.upkeep_row import UPKEEP_KEY, decode_upkeep, encode_upkeep
+from comfreywind.scheduling.vm_order import VmOrder
+
+INTERVAL_S = 0.3
+# Each reading of the list is a call to the platform.
+LIST_AGE_S = 0.8
+# An order without an answer is sent again after this time; the service takes it once.
+REPEAT_S = 1.3
+# A VM that is up as the same target so long after the service's 200 had its upkeep before.
+ALREADY_DONE_S = 2.0
+
+log = logging.getLogger('comfreywind.upkeep')
+
+
+class UpkeepKeeper:
+    """The holder's task for waves; it owns the orders that are under way."""
+
+    def __init__(
+        self,
+        term: HeldTerm,
+        node: str,
+        order_turn_s: float,
+        rows: RowsClient,
+        vm_client: VmClient,
+        rules: RulesFollower,
+        keeper: TermKeeper,
+        board: Board,
+        clock: Clock,
+        publish: Callable[[list[Order]], None],
+    ) -> None:
+        """Use the holder's parts; `publish` sends orders and has the holder plan again."""
+        self._term = term
+        self._node = node
+        self._order_turn_s = order_turn_s
+        self._rows = rows
+        self._vm_client = vm_client
+        self._rules = rules
+        self._keeper = keeper
+        self._board = board
+        self._clock = clock
+        self._publish = publish
+        self._vms: dict[str, Vm] = {}
+        self._listed_s = float('-inf')
+        self._orders: dict[int, dict[str, VmOrder]] = {}
+        self._emptying_since_s: dict[str, float] = {}
+        self._done: dict[int, set[str]] = {}
+        self._done_version = 0
+        self._told: dict[int, bool] = {}
+
+    async def run(self) -> None:
+        """Work on the open waves until cancelled."""
+        await self._load()
+        while True:
+            await trio.sleep(INTERVAL_S)
+            try:
+                await self._step()
+            except StoreUnavailableError as error:
+                log.info('waves wait: %s', error)
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                row = await self._rows.read_row(TABLE_TERM, TERM_PART, UPKEEP_KEY)
+            except StoreUnavailableError as error:
+                log.info('upkeep not read yet: %s', error)
+                await trio.sleep(INTERVAL_S)
+            else:
+                self._done = decode_upkeep(row.payload)
+                self._done_version = row.version
+                return
+
+    async def _step(self) -> None:
+        waves = [
+            wave for number, wave in self._rules.waves.items() if not self._told.get(number, False)
+        ]
+        if not waves or not self._keeper.is_valid():
+            return
+        now_s = self._clock.read_monotonic_s()
+        if now_s - self._listed_s > LIST_AGE_S:
+            self._vms = {vm.name: vm for vm in await self._vm_client.read_vms()}
+            self._listed_s = now_s
+        for wave in waves:
+            await self._advance(wave, now_s)
+
+    async def _advance(self, wave: UpkeepWave, now_s: float) -> None:
+        done = self._done.setdefault(wave.wave, set())
+        orders = self._orders.setdefault(wave.wave, {})
+        before = len(done)
+        self._settle_orders(orders, done, now_s)
+        if len(done) > before:
+            await self._store_done()
+        due = [self._vms[name] for name in wave.vms if name in self._vms and name not in done]
+        await self._tell(wave, complete=not due)
+        if self._may_order(now_s):
+            await self._empty_and_order(wave, due, orders, now_s)
+
+    def _may_order(self, now_s: float) -> bool:
+        """Return whether orders of an earlier holder are old enough not to take turns with it."""
+        return self._term.epoch == 1 or now_s - self._term.taken_s >= self._order_turn_s
+
+    def _settle_orders(self, orders: dict[str, VmOrder], done: set[str], now_s: float) -> None:
+        for name, order in list(orders.items()):
+            vm = self._vms.get(name)
+            if vm is None:
+                del orders[name]
+                continue
+            if not vm.up or vm.target_id != order.target_id:
+                self._drop_target(order.target_id, now_s)
+            if self._is_back(vm, order, now_s):
+                log.info('VM %s: upkeep done after %.1f s', name, now_s - order.sent_s)
+                done.add(name)
+                del orders[name]
+                self._keep_working(order.target_id)
+
+    def _is_back(self, vm: Vm, order: VmOrder, now_s: float) -> bool:
+        if not vm.up:
+            return False
+        if vm.target_id != order.target_id:
+            return True
+        return order.confirmed_s is not None and now_s - order.confirmed_s > ALREADY_DONE_S
+
+    def _drop_target(self, target_id: str, now_s: float) -> None:
+        record = self._board.targets.get(target_id)
+        if record is not None and record.runs:
+            self._board.drop_runs(record, now_s)
+            self._publish([])
+        if record is not None:
+            record.leaving = True
+
+    def _keep_working(self, target_id: str) -> None:
+        record = self._board.targets.get(target_id)
+        if record is not None:
+            record.emptying = False
+        self._emptying_since_s.pop(target_id, None)
+
+    async def _empty_and_order(
+        self, wave: UpkeepWave, due: list[Vm], orders: dict[str, VmOrder], now_s: float
+    ) -> None:
+        left_s = self._rules.find_wave_end_s(wave.wave) - now_s
+        standings = [
+            self._describe(vm, orders, now_s) for vm in due if vm.name not in orders
+        ]
+        sizes: dict[str, int] = {}
+        for listed in self._vms.values():
+            sizes[listed.pool] = sizes.get(listed.pool, 0) + 1
+        for chosen in choose_emptying(standings, sizes, max(0, wave.limit - len(orders))):
+            self._start_emptying(self._vms[chosen.name], now_s)
+        for vm in due:
+            if vm.name not in orders and len(orders) < wave.limit:
+                standing = self._describe(vm, orders, now_s)
+                if may_go_down(standing, left_s):
+                    await self._order(wave, vm, orders)
+                elif standing.blocked and standing.emptying:
+                    self._evict(vm, now_s)
+        for order in list(orders.values()):
+            if order.confirmed_s is None and now_s - order.sent_s > REPEAT_S:
+                await self._order(wave, self._vms[order.vm], orders)
+
+    def _evict(self, vm: Vm, now_s: float) -> None:
+        record = self._board.targets.get(vm.target_id)
+        if record is not None and self._keeper.is_valid():
+            self._publish(self._board.evict_crowded(record, now_s))
+
+    def _start_emptying(self, vm: Vm, now_s: float) -> None:
+        record = self._board.targets.get(vm.target_id)
+        if record is not None:
+            record.emptying = True
+        self._emptying_since_s[vm.target_id] = now_s
+
+    def _describe(self, vm: Vm, orders: dict[str, VmOrder], now_s: float) -> WaveVm:
+        record = self._board.targets.get(vm.target_id)
+        since_s = self._emptying_since_s.get(vm.target_id)
+        work = 0 if record is None else self._board.count_short_runs(record)
+        return WaveVm(
+            name=vm.name,
+            pool=vm.pool,
+            up=vm.up,
+            emptying=since_s is not None,
+            emptying_for_s=0 if since_s is None else now_s - since_s,
+            work=work,
+            blocked=record is not None and is_blocked(vm.target_id, self._list_health(record)),
+        )
+
+    def _list_health(self, record: TargetRecord) -> list[StepHealth]:
+        return self._board.list_step_health(record)
+
+    async def _order(self, wave: UpkeepWave, vm: Vm, orders: dict[str, VmOrder]) -> None:
+        if not self._keeper.is_valid():
+            return
+        now_s = self._clock.read_monotonic_s()
+        record = self._board.targets.get(vm.target_id)
+        if record is not None:
+            self._board.note_order(record)
+        order = orders.setdefault(vm.name, VmOrder(vm.name, vm.target_id, now_s))
+        order.sent_s = now_s
+        answer = await self._vm_client.maintain(vm.name, wave.wave, self._node, self._term.epoch)
+        log.info('VM %s: upkeep in wave %d: %s', vm.name, wave.wave, answer)
+        if answer is VmOrderAnswer.DONE:
+            order.confirmed_s = self._clock.read_monotonic_s()
+        elif answer is VmOrderAnswer.REFUSED:
+            del orders[vm.name]
+
+    async def _store_done(self) -> None:
+        change = RowChange(TABLE_TERM, UPKEEP_KEY, encode_upkeep(self._done), self._done_version)
+        try:
+            self._done_version = await self._rows.commit(TERM_PART, [change])
+        except RowsChangedError as error:
+            for row in error.rows:
+                self._done_version = row.version
+
+    async def _tell(self, wave: UpkeepWave, complete: bool) -> None:
+        """Tell the operator how far the wave is; complete once, when nothing is due."""
+        if self._told.get(wave.wave) is complete:
+            return
+        change = RowChange(TABLE_STATUS, f'{PREFIX_WAVE}{wave.wave}', encode_wave_state(complete))
+        await self._rows.commit('', [change])
+        self._told[wave.wave] = complete
+        log.info('wave %d: %s', wave.wave, 'complete' if complete else 'in progress')
--- /dev/null
+++ b/comfreywind/scheduling/upkeep_row.py
@@ -0,0 +1,19 @@
+"""The row that keeps which VMs of each wave have had their upkeep."""
+
+import msgpack
+
+UPKEEP_KEY = 'upkeep'
+
+
+def encode_upkeep(done: dict[int, set[str]]) -> bytes:
+    """Return the row."""
+    packed: bytes = msgpack.packb({wave: sorted(names) for wave, names in done.items()})
+    return packed
+
+
+def decode_upkeep(payload: bytes | None) -> dict[int, set[str]]:
+    """Return the names of the VMs done in each wave."""
+    if not payload:
+        return {}
+    waves = msgpack.unpackb(payload, strict_map_key=False)
+    return {int(wave): set(names) for wave, names in waves.items()}
