Queue a task once when its end is seen before the first plan

Ruled out: a repeated order (both starts had their own run id and came from one plan). Before: test_task_waits_once fails with two starts; after: it passes. Conclusion: a task comes into the list only with the turn of its step.

--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -409,10 +409,9 @@
 
     def _requeue(self, key: TaskKey) -> None:
         record = self.jobs.get(key.job_id)
-        if record is None or not record.open or record.is_done(key) or key in record.runs:
+        if record is None or not record.may_wait(key):
             return
-        if key not in record.waiting:
-            record.waiting.append(key)
+        record.waiting.append(key)
 
     def _note_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
         if answer is StartAnswer.REPLACED:
@@ -542,8 +541,7 @@
             occurrence, number = step_key
             for index in range(record.job.steps[number].task_count):
                 key = TaskKey(record.job.job_id, occurrence, number, index)
-                if not record.is_done(key) and key not in record.runs:
-                    record.waiting.append(key)
+                self._requeue(key)
 
     def _close_job(self, record: JobRecord) -> None:
         record.waiting.clear()
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -73,6 +73,15 @@
         """Return whether an end `done` of the task is known."""
         return (key.occurrence, key.step, key.number) in self.progress.done
 
+    def may_wait(self, key: TaskKey) -> bool:
+        """Return whether the task is to be started and is not yet in `waiting`.
+
+        The tasks of a step come into `waiting` with the step's turn, not before.
+        """
+        if not self.open or (key.occurrence, key.step) not in self.unlocked:
+            return False
+        return not self.is_done(key) and key not in self.runs and key not in self.waiting
+
     def is_complete(self) -> bool:
         """Return whether all tasks of all occurrences are done."""
         return not any(self.left_in_step.values())
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -166,9 +166,7 @@
         self, wave: UpkeepWave, due: list[Vm], orders: dict[str, VmOrder], now_s: float
     ) -> None:
         left_s = self._rules.find_wave_end_s(wave.wave) - now_s
-        standings = [
-            self._describe(vm, orders, now_s) for vm in due if vm.name not in orders
-        ]
+        standings = [self._describe(vm, orders, now_s) for vm in due if vm.name not in orders]
         sizes: dict[str, int] = {}
         for listed in self._vms.values():
             sizes[listed.pool] = sizes.get(listed.pool, 0) + 1
--- /dev/null
+++ b/tests/helpers/board_rig.py
@@ -0,0 +1,103 @@
+"""A board with targets and jobs in memory, for tests of scheduling without sockets."""
+
+from dataclasses import replace
+
+from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_rules import JobRules
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.queue import Queue
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
+from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.step import Step
+from comfreywind.jobs.target_entry import TargetEntry
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.jobs.team import Team
+from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.orders import Order, StartOrder, StopOrder
+from comfreywind.settings.address import Address
+
+POOL = 'north'
+TEAM = 'crews'
+JOB_ID = '00000000000000a1'
+QUEUE = Queue('rebuild', 'jobs.example', '/rebuild/', POOL, attempt_limit=3, stretch_factor=1.6)
+STEP = Step(1, Resources(1000, 100), estimate_ms=1000)
+
+
+def make_job(*steps: Step, job_id: str = JOB_ID, accepted_ms: int = 0, **fields: object) -> Job:
+    """Return a job of the queue with the steps."""
+    job = Job(job_id, TEAM, QUEUE, 'spec', steps or (STEP,), accepted_ms)
+    return replace(job, **fields)  # type: ignore[arg-type]
+
+
+class BoardRig:
+    """A board of one pool; time stands still unless a test moves `now_s`."""
+
+    def __init__(self, targets: int = 2, cpu: int = 4000, epoch: int = 1) -> None:
+        """Register the targets t0, t1, ... which have reported nothing running."""
+        self.board = Board(epoch)
+        self.board.rules = JobRules(1, queues={QUEUE.name: QUEUE}, teams={TEAM: Team(TEAM)})
+        self.now_s = 100.0
+        self.ends: dict[str, int] = {}
+        for number in range(targets):
+            self.add_target(f't{number}', cpu)
+
+    def add_target(self, name: str, cpu: int = 4000, labels: frozenset[str] = frozenset()) -> None:
+        """Register a target and let it report that nothing runs."""
+        address = Address('127.0.0.1', 1)
+        entry = TargetEntry(name, POOL, address, 'dc', False, Resources(cpu, 10_000), labels, 1)
+        self.board.set_target(entry, self.now_s)
+        self.report(name)
+
+    def add_job(self, job: Job | None = None, settled: bool = True) -> Job:
+        """Hand in a job."""
+        accepted = job or make_job()
+        self.board.add_job(accepted, Progress(), 1, settled)
+        return accepted
+
+    def plan(self) -> list[Order]:
+        """Return the orders of a plan."""
+        return self.board.plan(self.now_s, self.now_s * 1000)
+
+    def start(self) -> list[StartOrder]:
+        """Plan and let every target confirm its starts."""
+        orders = [order for order in self.plan() if isinstance(order, StartOrder)]
+        for order in orders:
+            self.answer(order, StartAnswer.STARTED)
+        return orders
+
+    def answer(self, order: StartOrder, answer: StartAnswer) -> list[Order]:
+        """Let a target answer a start."""
+        return self.board.note_start(order, answer, self.now_s)
+
+    def report(
+        self,
+        target: str,
+        active: tuple[tuple[TaskKey, int], ...] = (),
+        ended: tuple[tuple[TaskKey, int, RunOutcome], ...] = (),
+        born_ms: int = 1,
+    ) -> list[Order]:
+        """Let a target report runs; the report was asked for now."""
+        self.now_s += 0.1
+        rows = []
+        for key, run_id, outcome in ended:
+            self.ends[target] = self.ends.get(target, 0) + 1
+            rows.append(EndedRun(self.ends[target], key, run_id, outcome, ''))
+        runs = tuple(ActiveRun(key, run_id, '', 100, 0) for key, run_id in active)
+        report = TargetReport(0, born_ms, runs, tuple(rows))
+        record = self.board.targets[target]
+        return self.board.apply_report(record, report, self.now_s, self.now_s)
+
+    def end(self, order: StartOrder, outcome: RunOutcome) -> list[Order]:
+        """Let the target of a start report its end and what else it runs."""
+        others = tuple(
+            (run.key, run.run_id)
+            for run in self.board.targets[order.target_id].runs.values()
+            if run.key != order.key
+        )
+        return self.report(order.target_id, others, ((order.key, order.run_id, outcome),))
+
+
+def list_stops(orders: list[Order]) -> list[tuple[TaskKey, int]]:
+    """Return the runs that orders stop."""
+    return [(order.key, order.run_id) for order in orders if isinstance(order, StopOrder)]
--- /dev/null
+++ b/tests/scheduling/test_board.py
@@ -0,0 +1,190 @@
+"""Runs of tasks: each failure that the board guards against."""
+
+import pytest
+
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.run_report import RunOutcome
+from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.step import Step
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.jobs.team import Team
+from comfreywind.scheduling.run_record import RunState
+from tests.helpers.board_rig import JOB_ID, STEP, TEAM, BoardRig, list_stops, make_job
+
+KEY = TaskKey(JOB_ID, 0, 0, 0)
+
+
+def test_task_waits_once() -> None:
+    """Guards against two runs of one task: an end seen before the first plan queued it twice.
+
+    Seen on prevoz-plan trouble-1 after a change of the holder: runs 1001 and 1002 started at the
+    same moment.
+    """
+    rig = BoardRig(epoch=2)
+    rig.add_job()
+    rig.report('t0', ended=((KEY, 1, RunOutcome.FAILED),))
+    assert len(rig.start()) == 1
+
+
+def test_steps_in_order() -> None:
+    """Guards against a step that starts before the steps that it waits for are done."""
+    rig = BoardRig()
+    rig.add_job(make_job(STEP, Step(1, Resources(1000, 100), after=(0,))))
+    first = rig.start()
+    assert [order.key.step for order in first] == [0]
+    rig.end(first[0], RunOutcome.DONE)
+    assert [order.key.step for order in rig.start()] == [1]
+
+
+def test_complete_only_when_all_done() -> None:
+    """Guards against a job that is shown as complete while a task has not ended."""
+    rig = BoardRig()
+    job = rig.add_job(make_job(Step(2, Resources(1000, 100))))
+    first, second = rig.start()
+    rig.end(first, RunOutcome.DONE)
+    assert rig.board.jobs[job.job_id].progress.state is JobState.RUNNING
+    rig.end(second, RunOutcome.DONE)
+    assert rig.board.jobs[job.job_id].progress.state is JobState.COMPLETE
+
+
+def test_attempt_limit() -> None:
+    """Guards against a start after the last allowed attempt has failed."""
+    rig = BoardRig()
+    job = rig.add_job()
+    for _ in range(3):
+        rig.now_s += 10
+        rig.end(rig.start()[0], RunOutcome.FAILED)
+    rig.now_s += 10
+    assert not rig.plan()
+    assert rig.board.jobs[job.job_id].progress.state is JobState.FAILED
+
+
+@pytest.mark.parametrize(
+    ('answer', 'restarted'),
+    [
+        (StartAnswer.STARTED, False),
+        (StartAnswer.UNKNOWN, False),
+        (StartAnswer.NO_ROOM, True),
+        (StartAnswer.EXPIRED, True),
+        (StartAnswer.UNHEALTHY, True),
+    ],
+)
+def test_answers_to_starts(answer: StartAnswer, restarted: bool) -> None:
+    """Guards against a second run while the first may still come, and against a lost task."""
+    rig = BoardRig(targets=1)
+    rig.add_job()
+    (order,) = rig.plan()
+    rig.answer(order, answer)  # type: ignore[arg-type]
+    rig.now_s += 5
+    assert bool(rig.plan()) is restarted
+
+
+def test_start_without_answer() -> None:
+    """Guards against two runs when an order without an answer is carried out late.
+
+    The run is stopped first; only a list asked for after the confirmed stop frees the task.
+    """
+    rig = BoardRig(targets=1)
+    rig.add_job()
+    (order,) = rig.plan()
+    rig.answer(order, StartAnswer.UNKNOWN)  # type: ignore[arg-type]
+    (stop,) = rig.report('t0')
+    assert list_stops([stop]) == [(KEY, 1)]
+    assert not rig.plan()
+    rig.report('t0')
+    assert not rig.plan()
+    rig.board.note_stop(stop, confirmed=True, now_s=rig.now_s)  # type: ignore[arg-type]
+    rig.report('t0')
+    (again,) = rig.start()
+    assert again.run_id == 2
+
+
+def test_stop_without_answer_is_repeated() -> None:
+    """Guards against a run of a cancelled job that goes on because its stop was lost."""
+    rig = BoardRig(targets=1)
+    rig.add_job()
+    rig.start()
+    rig.board.cancel_job(JOB_ID)
+    (stop,) = rig.board.stop_closed_jobs(rig.now_s)
+    assert rig.board.note_stop(stop, confirmed=False, now_s=rig.now_s) == [stop]  # type: ignore[arg-type]
+
+
+def test_adopted_run() -> None:
+    """Guards against a second run of a task that an earlier holder started."""
+    rig = BoardRig(epoch=2)
+    rig.add_job(settled=False)
+    assert not rig.plan()
+    rig.report('t0', active=((KEY, 1),))
+    rig.board.settle(rig.board.jobs.values())
+    assert not rig.plan()
+    assert rig.board.jobs[JOB_ID].runs[KEY].state is RunState.RUNNING
+
+
+@pytest.mark.parametrize('case', ['cancelled', 'unknown', 'done', 'elsewhere'])
+def test_unwanted_run_is_stopped(case: str) -> None:
+    """Guards against runs of an earlier holder that nobody asked for any more."""
+    rig = BoardRig(epoch=2)
+    if case != 'unknown':
+        progress = Progress(done={(0, 0, 0)}) if case == 'done' else Progress()
+        rig.board.add_job(make_job(), progress, 1, settled=True)
+    if case == 'cancelled':
+        rig.board.cancel_job(JOB_ID)
+    if case == 'elsewhere':
+        rig.report('t1', active=((KEY, 2),))
+    assert list_stops(rig.report('t0', active=((KEY, 1),))) == [(KEY, 1)]
+
+
+def test_new_life_requeues() -> None:
+    """Guards against tasks lost with a target that starts anew under its id."""
+    rig = BoardRig(targets=1)
+    rig.add_job()
+    rig.start()
+    rig.report('t0', born_ms=2)
+    (again,) = rig.start()
+    assert again.run_id == 2
+
+
+def test_cancel_before_job() -> None:
+    """Guards against a job that starts because its cancelling was read before it."""
+    rig = BoardRig()
+    rig.board.cancel_job(JOB_ID)
+    rig.add_job()
+    assert not rig.plan()
+
+
+def test_ceiling() -> None:
+    """Guards against a team that runs more than its ceiling, stops under way included."""
+    rig = BoardRig()
+    rig.board.rules.teams[TEAM] = Team(TEAM, ceiling=Resources(cpu_millicores=2500))
+    rig.add_job(make_job(Step(4, Resources(1000, 100))))
+    assert len(rig.start()) == 2
+    rig.board.stop_job_runs(rig.board.jobs[JOB_ID], rig.now_s)
+    assert not rig.plan()
+
+
+def test_failing_target_is_barred() -> None:
+    """Guards against a target that fails everything and uses up the attempts of many jobs."""
+    rig = BoardRig(targets=1)
+    rig.add_job(make_job(Step(6, Resources(1000, 100))))
+    for order in rig.start()[:2]:
+        rig.end(order, RunOutcome.FAILED)
+    assert not rig.plan()
+
+
+def test_late_job_yields() -> None:
+    """Guards against a burst in which all jobs become late because those that are late come first."""
+    rig = BoardRig(targets=1, cpu=1000)
+    late = make_job(job_id='00000000000000b1', accepted_ms=0)
+    fresh = make_job(job_id='00000000000000b2', accepted_ms=100_000)
+    rig.add_job(late)
+    rig.add_job(fresh)
+    assert [order.key.job_id for order in rig.start()] == [fresh.job_id]
+
+
+def test_crowded_step_is_spread() -> None:
+    """Guards against a VM that can't go down because it has two tasks of a step that may miss one."""
+    rig = BoardRig(targets=3)
+    rig.add_job(make_job(Step(3, Resources(1000, 100), lasting=True, unavailable_limit=1)))
+    assert len({order.target_id for order in rig.start()}) == 3
