--- a/comfreywind/decisions/scheduling/term.py
+++ b/comfreywind/decisions/scheduling/term.py
@@ -1,17 +1,21 @@
 """Who schedules: one holder at a time, for a term under a lease row in the store.
 
-The holder renews the row with its version as the condition. The others see only that the row
-changes, so no clocks are compared: a candidate takes over when it has seen the same version for
-`TAKEOVER_S`, and a holder stops giving orders `TERM_S` after it sent its last successful renewal.
+The holder renews the row with its version as the condition. It stops giving orders when the length
+of the term has passed since it sent its last successful renewal. A candidate takes over when that
+length and a margin have passed since the renewal: by the store's clock, of which the row holds an
+upper bound at the renewal, or since the candidate itself first saw the row at this version.
 """
 
 import enum
 from dataclasses import dataclass
 
-# The holder stops before a candidate may take over; the difference covers the drift of two steady
-# clocks and the time from a check of the lease to the order being sent.
-TERM_S = 1.8
-TAKEOVER_S = 2.2
+# A holder stops before a candidate may take over; the margin covers the drift of steady clocks and
+# the time from a check of the lease to the order being sent.
+TAKEOVER_MARGIN_S = 0.4
+USUAL_TERM_S = 1.6
+# A store that answers 100 times slower than usual takes about a second for a renewal.
+SLOW_STORE_TERM_S = 2.8
+SLOW_RENEWAL_S = 0.25
 RENEW_INTERVAL_S = 0.5
 POLL_INTERVAL_S = 0.5
 
@@ -26,26 +30,36 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseSighting:
-    """The lease row as last seen; `unchanged_since_s` is when this version was first seen."""
+    """The lease row as last seen.
 
-    version: int
-    holder: str
-    epoch: int
+    `unchanged_s` is for how long this node has seen the row at this version, `renewal_age_s` how
+    long ago it was renewed at least by the store's clock, or None when that is not known.
+    """
+
+    exists: bool
     released: bool
-    unchanged_since_s: float
+    term_s: float
+    unchanged_s: float
+    renewal_age_s: float | None
 
 
-def decide_term_step(sighting: LeaseSighting, node: str, leading: bool, now_s: float) -> TermStep:
-    """Return the next step of a node that has seen the row at this version."""
-    if leading and sighting.holder == node:
+def decide_term_step(sighting: LeaseSighting, leading: bool) -> TermStep:
+    """Return the next step of a node that has seen the row."""
+    if leading:
         return TermStep.RENEW
-    if sighting.version == 0 or sighting.released:
+    if not sighting.exists or sighting.released:
         return TermStep.TAKE
-    if now_s - sighting.unchanged_since_s >= TAKEOVER_S:
+    silent_s = max(sighting.unchanged_s, sighting.renewal_age_s or 0)
+    if silent_s >= sighting.term_s + TAKEOVER_MARGIN_S:
         return TermStep.TAKE
     return TermStep.WAIT
 
 
-def is_term_valid(last_renewal_sent_s: float | None, now_s: float) -> bool:
+def choose_term_s(last_renewal_took_s: float) -> float:
+    """Return the length of the next term; a slow store needs a longer one to be renewed in time."""
+    return SLOW_STORE_TERM_S if last_renewal_took_s > SLOW_RENEWAL_S else USUAL_TERM_S
+
+
+def is_term_valid(renewal_sent_s: float | None, term_s: float, now_s: float) -> bool:
     """Return whether a holder may give orders."""
-    return last_renewal_sent_s is not None and now_s - last_renewal_sent_s < TERM_S
+    return renewal_sent_s is not None and now_s - renewal_sent_s < term_s
--- a/comfreywind/decisions/scheduling/upkeep.py
+++ b/comfreywind/decisions/scheduling/upkeep.py
@@ -34,7 +34,7 @@
         by_pool[vm.pool] = by_pool.get(vm.pool, 0) + 1
     chosen: list[WaveVm] = []
     candidates = (vm for vm in vms if vm.up and not vm.emptying)
-    for vm in sorted(candidates, key=lambda candidate: (candidate.work, candidate.name)):
+    for vm in sorted(candidates, key=_find_cost):
         if len(emptying) + len(chosen) >= limit:
             break
         share = max(1, int(pool_sizes.get(vm.pool, 0) * POOL_SHARE))
@@ -44,6 +44,10 @@
     return chosen
 
 
+def _find_cost(vm: WaveVm) -> tuple[int, str]:
+    return (vm.work, vm.name)
+
+
 def may_go_down(vm: WaveVm, left_s: float) -> bool:
     """Return whether the upkeep of a VM that is being emptied may be ordered now."""
     if not vm.up or not vm.emptying or vm.blocked:
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -54,6 +54,7 @@
         self._store = store
         self._keeper = keeper
         self._clock = clock
+        self.closing = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
@@ -66,7 +67,8 @@
             await send_json(send, 413, {'error': str(error)})
             return
         reply = await self._serve(scope['method'], scope['path'], headers, body)
-        extra = []
+        # An open connection stays with this node until it is closed.
+        extra = [(b'connection', b'close')] if self.closing else []
         if reply.status in (429, 503):
             extra.append((b'retry-after', str(RETRY_AFTER_S).encode()))
         await send_json(send, reply.status, reply.document, extra)
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -34,7 +34,7 @@
         """Wire the parts together."""
         self._settings = settings
         self._clock = clock
-        self._rows = RowsClient(settings.store_address, FEED_WAIT_S)
+        self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock)
         self._rules = RulesFollower(self._rows, clock)
         self._keeper = TermKeeper(self._rows, settings.name, clock)
         self._job_app = JobApp(self._rules, JobStore(self._rows), self._keeper, clock)
@@ -68,6 +68,7 @@
             await termination.wait()
             log.info('stopping: taken out of rotation')
             self._stopping = True
+            self._job_app.closing = True
             await self._keeper.release()
             await trio.sleep(READINESS_NOTICE_S)
             shutdown.set()
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -5,6 +5,7 @@
 from typing import Any
 from urllib.parse import quote
 
+from comfreywind.clock import Clock
 from comfreywind.errors import (
     HistoryLostError,
     RowsChangedError,
@@ -13,12 +14,14 @@
 )
 from comfreywind.http.client import HttpClient, HttpReply
 from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.store_time import StoreTime
 from comfreywind.platform.stored_row import RowChange, RowPage, StoredRow
 from comfreywind.settings.address import Address
 
-CALL_TIMEOUT_S = 1.2
+# A store that is 100 times slower than usual needs about a second for a transaction.
+CALL_TIMEOUT_S = 1.5
 # A feed is answered after `wait_s` at the latest; the rest is for the network and a slow store.
-FEED_MARGIN_S = 1.2
+FEED_MARGIN_S = 1.5
 PAGE_ROWS = 500
 MS_PER_S = 1000
 STATUS_OK = 200
@@ -31,11 +34,18 @@
 class RowsClient:
     """Reads rows and changes, and commits transactions."""
 
-    def __init__(self, address: Address, feed_wait_s: float) -> None:
+    def __init__(self, address: Address, feed_wait_s: float, clock: Clock) -> None:
         """Prepare the clients; feeds have one of their own, because they wait for changes."""
         self._client = HttpClient(address, CALL_TIMEOUT_S)
         self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S)
         self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
+        self._clock = clock
+        self._store_time: StoreTime | None = None
+
+    @property
+    def store_time(self) -> StoreTime | None:
+        """Return the last reading of the store's clock."""
+        return self._store_time
 
     async def commit(self, part: str, changes: Sequence[RowChange]) -> int:
         """Commit all changes to rows of one part or none; return the version they got.
@@ -89,7 +99,12 @@
         return _decode_page(_check(await self._call('GET', f'/v1/rows-get?{query}')).read_json())
 
     async def _call(self, method: str, path: str, document: object | None = None) -> HttpReply:
-        return await _call(self._client, method, path, document)
+        asked_s = self._clock.read_monotonic_s()
+        reply = await _call(self._client, method, path, document)
+        if reply.status == STATUS_OK:
+            store_ms = float(reply.read_json()['now_ms'])
+            self._store_time = StoreTime(store_ms, asked_s, self._clock.read_monotonic_s())
+        return reply
 
 
 async def _call(
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -257,8 +257,8 @@
             if step_key in evicted or not run.at_work or not self._is_lasting(run.key):
                 continue
             health = self._read_step_health(*step_key)
-            crowded = health.at_work_on[target.entry.target_id] > health.limit > 0
-            if crowded and health.away < health.limit:
+            here = health.at_work_on[target.entry.target_id]
+            if here > health.limit and health.away < health.limit:
                 evicted.add(step_key)
                 run.at_work = False
                 orders.extend(self.stop_run(run, now_s))
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -33,6 +33,7 @@
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.term_row import decode_roster, encode_roster
 from comfreywind.scheduling.upkeep_keeper import UpkeepKeeper
+from comfreywind.scheduling.vm_watch import VmWatch
 from comfreywind.settings.address import Address
 from comfreywind.settings.node import NodeSettings
 
@@ -40,6 +41,8 @@
 GATHER_S = 0.004
 TICK_S = 0.1
 RETRY_S = 0.2
+# A target that is gone may stay in the roster so long; that only delays a later holder.
+ROSTER_INTERVAL_S = 1.0
 # After this time every run of an earlier holder has lapsed, on a clock that is 2 % slow.
 UNSEEN_LAPSE_S = RUN_LEASE_S * 1.02 + 0.5
 MS_PER_S = 1000
@@ -75,7 +78,9 @@
         self._old_roster: frozenset[str] = frozenset()
         self._stored_roster: frozenset[str] = frozenset()
         self._roster_version = 0
+        self._roster_s = float('-inf')
         self._settled = False
+        self._watch: VmWatch | None = None
 
     async def run(self) -> None:
         """Load the state, adopt what runs, then plan until cancelled."""
@@ -102,7 +107,7 @@
             )
             nursery.start_soon(self._tick)
             if self._settings.vm_service_address is not None:
-                nursery.start_soon(self._make_upkeep(self._settings.vm_service_address).run)
+                self._start_vm_tasks(nursery, self._settings.vm_service_address)
             await self._plan_forever()
 
     def publish(self, orders: list[Order]) -> None:
@@ -134,13 +139,29 @@
         self._stored_roster = self._old_roster
         self._roster_version = roster.version
 
-    def _make_upkeep(self, address: Address) -> UpkeepKeeper:
+    def _start_vm_tasks(self, nursery: trio.Nursery, address: Address) -> None:
+        client = VmClient(address)
+        self._watch = VmWatch(client, self.board, self._clock)
+        upkeep = self._make_upkeep(client, self._watch)
+        nursery.start_soon(upkeep.run)
+        nursery.start_soon(
+            self._watch.run, lambda: upkeep.is_busy() or self._has_doubt(), self._wake.set
+        )
+
+    def _has_doubt(self) -> bool:
+        """Return whether the list of VMs could tell that runs have ended with their VM."""
+        if not self._settled:
+            return True
+        return any(record.silent and record.runs for record in self.board.targets.values())
+
+    def _make_upkeep(self, client: VmClient, watch: VmWatch) -> UpkeepKeeper:
         return UpkeepKeeper(
             self._term,
             self._settings.name,
             self._settings.timings.order_turn_s,
             self._rows,
-            VmClient(address),
+            client,
+            watch,
             self._rules,
             self._keeper,
             self.board,
@@ -259,7 +280,7 @@
         if self._settled:
             return
         waited_s = self._clock.read_monotonic_s() - self._term.taken_s
-        unseen = [target_id for target_id in self._old_roster if not self._is_reported(target_id)]
+        unseen = [target_id for target_id in self._old_roster if self._is_unseen(target_id)]
         if unseen and waited_s < UNSEEN_LAPSE_S:
             return
         self._settled = True
@@ -271,12 +292,15 @@
             len(unseen),
         )
 
-    def _is_reported(self, target_id: str) -> bool:
+    def _is_unseen(self, target_id: str) -> bool:
         record = self.board.targets.get(target_id)
-        return record is not None and record.reported
+        if record is not None and record.reported:
+            return False
+        return self._watch is None or not self._watch.is_dead(target_id, self._term.taken_s)
 
     async def _store_roster(self) -> bool:
         """Store the targets that may get runs before the first run; return whether they are."""
+        now_s = self._clock.read_monotonic_s()
         roster = frozenset(
             target_id
             for target_id, record in self.board.targets.items()
@@ -284,9 +308,11 @@
         )
         if not self._settled:
             roster |= self._old_roster
-        missing = roster - self._stored_roster
-        if not missing and len(self._stored_roster) <= 2 * len(roster) + 1:
+        grown = bool(roster - self._stored_roster)
+        shrunk = roster != self._stored_roster and now_s - self._roster_s > ROSTER_INTERVAL_S
+        if not grown and not shrunk:
             return True
+        self._roster_s = now_s
         changes = [
             RowChange(TABLE_TERM, ROSTER_KEY, encode_roster(roster), self._roster_version),
         ]
--- a/comfreywind/scheduling/term_keeper.py
+++ b/comfreywind/scheduling/term_keeper.py
@@ -10,8 +10,10 @@
 from comfreywind.decisions.scheduling.term import (
     POLL_INTERVAL_S,
     RENEW_INTERVAL_S,
+    USUAL_TERM_S,
     LeaseSighting,
     TermStep,
+    choose_term_s,
     decide_term_step,
     is_term_valid,
 )
@@ -23,7 +25,9 @@
 
 # Nodes that see a released term at the same moment don't all try at once.
 TAKE_JITTER_S = 0.08
-NEVER_SEEN = LeaseSighting(-1, '', 0, False, 0)
+SHORTEST_PAUSE_S = 0.05
+NEVER_SEEN = -1
+MS_PER_S = 1000
 
 log = logging.getLogger('comfreywind.term')
 
@@ -46,7 +50,9 @@
         self._node = node
         self._clock = clock
         self._random = random.Random(node)
-        self._sighting = NEVER_SEEN
+        self._version = NEVER_SEEN
+        self._version_since_s = clock.read_monotonic_s()
+        self._next_term_s = USUAL_TERM_S
         self._seen_row = TermRow('', 0)
         self._renewal_sent_s: float | None = None
         self._held: HeldTerm | None = None
@@ -68,12 +74,14 @@
     @property
     def seen_version(self) -> int:
         """Return the version of the row as last read or written."""
-        return self._sighting.version
+        return self._version
 
     def is_valid(self) -> bool:
         """Return whether this node may give orders now."""
         now_s = self._clock.read_monotonic_s()
-        return self._held is not None and is_term_valid(self._renewal_sent_s, now_s)
+        if self._held is None:
+            return False
+        return is_term_valid(self._renewal_sent_s, self._seen_row.term_s, now_s)
 
     async def wait_for_change(self) -> None:
         """Return when the node has gained or lost the term."""
@@ -82,11 +90,13 @@
     async def run(self) -> None:
         """Read, take or renew the row for ever."""
         while not self._stopping:
+            next_s = trio.current_time() + self._find_pause_s()
             try:
                 await self._take_step()
             except StoreUnavailableError as error:
                 log.info('term row: %s', error)
-            await trio.sleep(self._find_pause_s())
+            # A slow store takes up the pause, and a call that failed at once must not repeat at once.
+            await trio.sleep(max(next_s - trio.current_time(), SHORTEST_PAUSE_S))
 
     async def release(self) -> None:
         """Give the term up, so that another node takes over at once."""
@@ -96,7 +106,7 @@
             return
         self._lose('released')
         row = TermRow(self._node, held.epoch, self._seen_row.renewal + 1, released=True)
-        change = RowChange(TABLE_TERM, TERM_KEY, encode_term(row), self._sighting.version)
+        change = RowChange(TABLE_TERM, TERM_KEY, encode_term(row), self._version)
         try:
             await self._rows.commit(TERM_PART, [change])
         except (StoreUnavailableError, RowsChangedError) as error:
@@ -110,49 +120,69 @@
     async def _take_step(self) -> None:
         if self._held is None:
             self._observe(await self._rows.read_row(TABLE_TERM, TERM_PART, TERM_KEY))
-        now_s = self._clock.read_monotonic_s()
-        step = decide_term_step(self._sighting, self._node, self._held is not None, now_s)
+        step = decide_term_step(self._describe(), self._held is not None)
         if step is TermStep.WAIT or self._stopping:
             return
         if step is TermStep.TAKE:
             await trio.sleep(self._random.uniform(0, TAKE_JITTER_S))
         await self._write(step)
 
+    def _describe(self) -> LeaseSighting:
+        now_s = self._clock.read_monotonic_s()
+        row = self._seen_row
+        store_time = self._rows.store_time
+        age_s = None
+        if row.renewed_ms and store_time is not None:
+            age_s = (store_time.find_earliest_ms(now_s) - row.renewed_ms) / MS_PER_S
+        return LeaseSighting(
+            exists=self._version != 0,
+            released=row.released,
+            term_s=row.term_s,
+            unchanged_s=now_s - self._version_since_s,
+            renewal_age_s=age_s,
+        )
+
     async def _write(self, step: TermStep) -> None:
-        epoch = self._seen_row.epoch + int(step is TermStep.TAKE)
+        sent_s = self._clock.read_monotonic_s()
+        store_time = self._rows.store_time
         row = TermRow(
             self._node,
-            epoch,
+            self._seen_row.epoch + int(step is TermStep.TAKE),
             self._seen_row.renewal + 1,
+            term_s=self._next_term_s,
+            renewed_ms=0 if store_time is None else store_time.find_latest_ms(sent_s),
             pending=self.own_pending,
             refused=self.own_refused,
         )
-        expected = self._sighting.version
-        change = RowChange(TABLE_TERM, TERM_KEY, encode_term(row), expected)
-        sent_s = self._clock.read_monotonic_s()
+        change = RowChange(TABLE_TERM, TERM_KEY, encode_term(row), self._version)
         try:
             version = await self._rows.commit(TERM_PART, [change])
         except RowsChangedError as error:
-            self._settle_conflict(error.rows, row, sent_s)
+            self._settle_conflict(error.rows)
             return
+        finally:
+            self._next_term_s = choose_term_s(self._clock.read_monotonic_s() - sent_s)
         self._accept(row, version, sent_s)
 
-    def _settle_conflict(self, rows: tuple[StoredRow, ...], row: TermRow, sent_s: float) -> None:
-        """Find out whether an earlier write of ours without a reply took effect."""
-        own_term = self._held
+    def _settle_conflict(self, rows: tuple[StoredRow, ...]) -> None:
+        """Find out who has the term when the row has another version than expected.
+
+        An earlier renewal without a reply may have taken effect. The term then still counts from
+        the last renewal that had one.
+        """
         for stored in rows:
             self._observe(stored)
         seen = self._seen_row
-        still_ours = seen.holder == self._node and not seen.released
-        if own_term is not None and still_ours and seen.epoch == own_term.epoch:
-            self._accept(seen, self._sighting.version, sent_s)
-        elif own_term is not None:
+        if self._held is None:
+            return
+        if seen.holder != self._node or seen.released or seen.epoch != self._held.epoch:
             self._lose(f'the row names {seen.holder} in term {seen.epoch}')
 
     def _accept(self, row: TermRow, version: int, sent_s: float) -> None:
         now_s = self._clock.read_monotonic_s()
         self._seen_row = row
-        self._sighting = LeaseSighting(version, row.holder, row.epoch, False, now_s)
+        self._version = version
+        self._version_since_s = now_s
         self._renewal_sent_s = sent_s
         if self._held is None or self._held.epoch != row.epoch:
             self._held = HeldTerm(row.epoch, version, now_s)
@@ -160,13 +190,10 @@
             self._announce()
 
     def _observe(self, stored: StoredRow) -> None:
-        row = decode_term(stored.payload) if stored.payload else TermRow('', 0)
-        if stored.version != self._sighting.version:
-            now_s = self._clock.read_monotonic_s()
-            self._sighting = LeaseSighting(
-                stored.version, row.holder, row.epoch, row.released, now_s
-            )
-        self._seen_row = row
+        if stored.version != self._version:
+            self._version = stored.version
+            self._version_since_s = self._clock.read_monotonic_s()
+        self._seen_row = decode_term(stored.payload) if stored.payload else TermRow('', 0)
 
     def _lose(self, reason: str) -> None:
         log.info('term %d: lost: %s', self._seen_row.epoch, reason)
--- a/comfreywind/scheduling/term_row.py
+++ b/comfreywind/scheduling/term_row.py
@@ -1,6 +1,6 @@
 """The row by which a holder has its term, with the figures that all nodes read from it."""
 
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
 
 import msgpack
 
@@ -11,6 +11,8 @@
 class TermRow:
     """Holder, epoch and renewal count; `pending` counts the jobs of each queue not begun.
 
+    The term lasts `term_s` from the renewal, which was not after `renewed_ms` on the store's clock
+    (0 when the holder did not know that clock).
     `refused` holds the queues that take no jobs now, with the seconds until a retry can help.
     """
 
@@ -18,14 +20,15 @@
     epoch: int
     renewal: int = 0
     released: bool = False
+    term_s: float = 0
+    renewed_ms: float = 0
     pending: dict[str, int] = field(default_factory=dict)
     refused: dict[str, float] = field(default_factory=dict)
 
 
 def encode_term(row: TermRow) -> bytes:
     """Return the value of the row."""
-    fields = [row.holder, row.epoch, row.renewal, row.released, row.pending, row.refused]
-    packed: bytes = msgpack.packb(fields)
+    packed: bytes = msgpack.packb(astuple(row))
     return packed
 
 
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -7,7 +7,6 @@
 
 from comfreywind.clock import Clock
 from comfreywind.decisions.scheduling.upkeep import (
-    StepHealth,
     WaveVm,
     choose_emptying,
     is_blocked,
@@ -25,14 +24,14 @@
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.orders import Order
 from comfreywind.scheduling.rules_follower import RulesFollower
-from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.upkeep_row import UPKEEP_KEY, decode_upkeep, encode_upkeep
 from comfreywind.scheduling.vm_order import VmOrder
+from comfreywind.scheduling.vm_watch import VmWatch
 
 INTERVAL_S = 0.3
-# Each reading of the list is a call to the platform.
-LIST_AGE_S = 0.8
+# Nothing is ordered from a list that is older.
+LIST_AGE_LIMIT_S = 2.5
 # An order without an answer is sent again after this time; the service takes it once.
 REPEAT_S = 1.3
 # A VM that is up as the same target so long after the service's 200 had its upkeep before.
@@ -51,6 +50,7 @@
         order_turn_s: float,
         rows: RowsClient,
         vm_client: VmClient,
+        watch: VmWatch,
         rules: RulesFollower,
         keeper: TermKeeper,
         board: Board,
@@ -63,13 +63,12 @@
         self._order_turn_s = order_turn_s
         self._rows = rows
         self._vm_client = vm_client
+        self._watch = watch
         self._rules = rules
         self._keeper = keeper
         self._board = board
         self._clock = clock
         self._publish = publish
-        self._vms: dict[str, Vm] = {}
-        self._listed_s = float('-inf')
         self._orders: dict[int, dict[str, VmOrder]] = {}
         self._emptying_since_s: dict[str, float] = {}
         self._done: dict[int, set[str]] = {}
@@ -86,6 +85,15 @@
             except StoreUnavailableError as error:
                 log.info('waves wait: %s', error)
 
+    def is_busy(self) -> bool:
+        """Return whether a wave is not complete."""
+        return bool(self._list_open())
+
+    def _list_open(self) -> list[UpkeepWave]:
+        return [
+            wave for number, wave in self._rules.waves.items() if not self._told.get(number, False)
+        ]
+
     async def _load(self) -> None:
         while True:
             try:
@@ -99,16 +107,11 @@
                 return
 
     async def _step(self) -> None:
-        waves = [
-            wave for number, wave in self._rules.waves.items() if not self._told.get(number, False)
-        ]
-        if not waves or not self._keeper.is_valid():
-            return
         now_s = self._clock.read_monotonic_s()
-        if now_s - self._listed_s > LIST_AGE_S:
-            self._vms = {vm.name: vm for vm in await self._vm_client.read_vms()}
-            self._listed_s = now_s
-        for wave in waves:
+        stale = self._watch.find_age_s(now_s) > LIST_AGE_LIMIT_S
+        if stale or not self._keeper.is_valid():
+            return
+        for wave in self._list_open():
             await self._advance(wave, now_s)
 
     async def _advance(self, wave: UpkeepWave, now_s: float) -> None:
@@ -118,7 +121,11 @@
         self._settle_orders(orders, done, now_s)
         if len(done) > before:
             await self._store_done()
-        due = [self._vms[name] for name in wave.vms if name in self._vms and name not in done]
+        due = [
+            self._watch.vms[name]
+            for name in wave.vms
+            if name in self._watch.vms and name not in done
+        ]
         await self._tell(wave, complete=not due)
         if self._may_order(now_s):
             await self._empty_and_order(wave, due, orders, now_s)
@@ -129,7 +136,7 @@
 
     def _settle_orders(self, orders: dict[str, VmOrder], done: set[str], now_s: float) -> None:
         for name, order in list(orders.items()):
-            vm = self._vms.get(name)
+            vm = self._watch.vms.get(name)
             if vm is None:
                 del orders[name]
                 continue
@@ -165,23 +172,34 @@
     async def _empty_and_order(
         self, wave: UpkeepWave, due: list[Vm], orders: dict[str, VmOrder], now_s: float
     ) -> None:
+        waiting = [vm for vm in due if vm.name not in orders]
+        standings = [self._describe(vm, now_s) for vm in waiting]
+        room = max(0, wave.limit - len(orders))
+        for chosen in choose_emptying(standings, self._count_pools(), room):
+            self._start_emptying(self._watch.vms[chosen.name], now_s)
         left_s = self._rules.find_wave_end_s(wave.wave) - now_s
-        standings = [self._describe(vm, orders, now_s) for vm in due if vm.name not in orders]
-        sizes: dict[str, int] = {}
-        for listed in self._vms.values():
-            sizes[listed.pool] = sizes.get(listed.pool, 0) + 1
-        for chosen in choose_emptying(standings, sizes, max(0, wave.limit - len(orders))):
-            self._start_emptying(self._vms[chosen.name], now_s)
-        for vm in due:
-            if vm.name not in orders and len(orders) < wave.limit:
-                standing = self._describe(vm, orders, now_s)
-                if may_go_down(standing, left_s):
-                    await self._order(wave, vm, orders)
-                elif standing.blocked and standing.emptying:
-                    self._evict(vm, now_s)
+        for vm in waiting:
+            if len(orders) < wave.limit:
+                await self._order_if_empty(wave, vm, orders, left_s)
         for order in list(orders.values()):
             if order.confirmed_s is None and now_s - order.sent_s > REPEAT_S:
-                await self._order(wave, self._vms[order.vm], orders)
+                await self._order(wave, self._watch.vms[order.vm], orders)
+
+    async def _order_if_empty(
+        self, wave: UpkeepWave, vm: Vm, orders: dict[str, VmOrder], left_s: float
+    ) -> None:
+        now_s = self._clock.read_monotonic_s()
+        standing = self._describe(vm, now_s)
+        if may_go_down(standing, left_s):
+            await self._order(wave, vm, orders)
+        elif standing.blocked and standing.emptying:
+            self._evict(vm, now_s)
+
+    def _count_pools(self) -> dict[str, int]:
+        sizes: dict[str, int] = {}
+        for vm in self._watch.vms.values():
+            sizes[vm.pool] = sizes.get(vm.pool, 0) + 1
+        return sizes
 
     def _evict(self, vm: Vm, now_s: float) -> None:
         record = self._board.targets.get(vm.target_id)
@@ -194,7 +212,7 @@
             record.emptying = True
         self._emptying_since_s[vm.target_id] = now_s
 
-    def _describe(self, vm: Vm, orders: dict[str, VmOrder], now_s: float) -> WaveVm:
+    def _describe(self, vm: Vm, now_s: float) -> WaveVm:
         record = self._board.targets.get(vm.target_id)
         since_s = self._emptying_since_s.get(vm.target_id)
         work = 0 if record is None else self._board.count_short_runs(record)
@@ -205,12 +223,10 @@
             emptying=since_s is not None,
             emptying_for_s=0 if since_s is None else now_s - since_s,
             work=work,
-            blocked=record is not None and is_blocked(vm.target_id, self._list_health(record)),
+            blocked=record is not None
+            and is_blocked(vm.target_id, self._board.list_step_health(record)),
         )
 
-    def _list_health(self, record: TargetRecord) -> list[StepHealth]:
-        return self._board.list_step_health(record)
-
     async def _order(self, wave: UpkeepWave, vm: Vm, orders: dict[str, VmOrder]) -> None:
         if not self._keeper.is_valid():
             return
