Size pools by their load, with idle VMs on standby

One change: VMs move to pools that lack them, from standby first, and idle ones to standby after 2.5 s. Ruled out: VMs with runs (their work would be lost).

--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -226,6 +226,21 @@
                 pending[queue] = pending.get(queue, 0) + 1
         return pending
 
+    def measure_load(self, pool: str) -> float:
+        """Return the work of a pool that runs or waits, in VMs of the pool's mean size."""
+        targets = self.list_pool_targets(pool)
+        capacity = sum(target.entry.capacity.cpu_millicores for target in targets)
+        if not capacity:
+            return 0
+        load = sum(target.used.cpu_millicores for target in targets)
+        for record in self.open_jobs.values():
+            if record.waiting and self.find_pool(record) == pool:
+                load += sum(
+                    find_request(record.job.steps[key.step]).cpu_millicores
+                    for key in record.waiting
+                )
+        return load * len(targets) / capacity
+
     def count_short_runs(self, target: TargetRecord) -> int:
         """Return how many runs on the target end by themselves."""
         return sum(not self._is_lasting(run.key) for run in target.runs.values())
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -26,6 +26,7 @@
 from comfreywind.platform.wire import TABLE_SERVERS
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.orders import Order
+from comfreywind.scheduling.pool_keeper import PoolKeeper
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.row_feed import RowFeed
 from comfreywind.scheduling.rules_follower import RulesFollower
@@ -143,9 +144,13 @@
         client = VmClient(address)
         self._watch = VmWatch(client, self.board, self._clock)
         upkeep = self._make_upkeep(client, self._watch)
+        pools = self._make_pools(client, self._watch)
         nursery.start_soon(upkeep.run)
+        nursery.start_soon(pools.run)
         nursery.start_soon(
-            self._watch.run, lambda: upkeep.is_busy() or self._has_doubt(), self._wake.set
+            self._watch.run,
+            lambda: upkeep.is_busy() or pools.is_busy() or self._has_doubt(),
+            self._wake_planner,
         )
 
     def _has_doubt(self) -> bool:
@@ -154,6 +159,23 @@
             return True
         return any(record.silent and record.runs for record in self.board.targets.values())
 
+    def _make_pools(self, client: VmClient, watch: VmWatch) -> PoolKeeper:
+        return PoolKeeper(
+            self._term,
+            self._settings.name,
+            self._settings.timings.order_turn_s,
+            client,
+            watch,
+            self._rules,
+            self._keeper,
+            self.board,
+            self._clock,
+            self._wake_planner,
+        )
+
+    def _wake_planner(self) -> None:
+        self._wake.set()
+
     def _make_upkeep(self, client: VmClient, watch: VmWatch) -> UpkeepKeeper:
         return UpkeepKeeper(
             self._term,
