--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -16,7 +16,7 @@
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
-from comfreywind.jobs.run_report import EndedRun, RunOutcome, TargetReport
+from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.target_entry import TargetEntry
@@ -133,11 +133,7 @@
         for active in report.active:
             listed.add(active.key)
             orders.extend(self._apply_active(record, active.key, active.run_id, now_s))
-            run = record.runs.get(active.key)
-            if run is not None and run.run_id == active.run_id:
-                run.checkpoint = active.checkpoint or run.checkpoint
-                run.at_work = active.at_work_percent >= 100
-                run.level = active.level
+            _note_level(record.runs.get(active.key), active)
         orders.extend(self._find_missing(record, listed, asked_s, now_s))
         return orders
 
@@ -205,6 +201,8 @@
         if run.state is RunState.STOPPING:
             return []
         run.state = RunState.STOPPING
+        run.ending = True
+        run.at_work = False
         run.settled_s = now_s
         return [StopOrder(run.target_id, run.key, run.run_id)]
 
@@ -258,8 +256,15 @@
         """Count what runs on the target as away, because the VM is ordered down or elsewhere."""
         target.emptying = True
         for run in target.runs.values():
+            run.ending = True
             run.at_work = False
 
+    def take_back_order(self, target: TargetRecord) -> None:
+        """Let the target work on, because what was ordered for its VM is not carried out."""
+        target.emptying = False
+        for run in target.runs.values():
+            run.ending = run.state is RunState.STOPPING
+
     def evict_crowded(self, target: TargetRecord, now_s: float) -> list[Order]:
         """Return stops of lasting tasks that keep a VM from going down, one of each step.
 
@@ -275,7 +280,6 @@
             here = health.at_work_on[target.entry.target_id]
             if here > health.limit and health.away < health.limit:
                 evicted.add(step_key)
-                run.at_work = False
                 orders.extend(self.stop_run(run, now_s))
         return orders
 
@@ -582,6 +586,14 @@
         return counts
 
 
+def _note_level(run: RunRecord | None, active: ActiveRun) -> None:
+    if run is None or run.run_id != active.run_id:
+        return
+    run.checkpoint = active.checkpoint or run.checkpoint
+    run.at_work = active.at_work_percent >= 100 and not run.ending
+    run.level = active.level
+
+
 def _is_wanted(record: JobRecord, key: TaskKey) -> bool:
     if key.step >= len(record.job.steps) or key in record.runs:
         return False
--- a/comfreywind/scheduling/pool_keeper.py
+++ b/comfreywind/scheduling/pool_keeper.py
@@ -99,7 +99,7 @@
     def _release(self, target_id: str) -> None:
         record = self._board.targets.get(target_id)
         if record is not None:
-            record.emptying = False
+            self._board.take_back_order(record)
             self._wake()
 
     def _list_loads(self, now_s: float) -> list[PoolLoad]:
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -21,7 +21,7 @@
     """A run on a target.
 
     `settled_s` is when the last order about the run was answered: a report that was asked for later
-    shows the run if it is there.
+    shows the run if it is there. `ending` marks a run that an order of ours is about to end.
     """
 
     key: TaskKey
@@ -36,6 +36,7 @@
     stop_confirmed: bool = False
     checkpoint: str = ''
     at_work: bool = False
+    ending: bool = False
     level: float = 0
     pace_percent: int = 100
     idle_since_s: float | None = None
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -127,7 +127,9 @@
     async def _look(self) -> bool:
         """Ask for the lists once; return False when the link has to end."""
         asked_s = self._clock.read_monotonic_s()
-        expires_ms = self._find_expiry_ms() if self._keeper.is_valid() else None
+        # A silent target may take an extension without an answer, so it gets none: its runs lapse.
+        extends = self._keeper.is_valid() and not self._record.silent
+        expires_ms = self._find_expiry_ms() if extends else None
         wait_ms = self._find_wait_ms()
         try:
             report = await self._client.hold(
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -166,7 +166,7 @@
     def _keep_working(self, target_id: str) -> None:
         record = self._board.targets.get(target_id)
         if record is not None:
-            record.emptying = False
+            self._board.take_back_order(record)
         self._emptying_since_s.pop(target_id, None)
 
     async def _empty_and_order(
@@ -242,6 +242,7 @@
             order.confirmed_s = self._clock.read_monotonic_s()
         elif answer is VmOrderAnswer.REFUSED:
             del orders[vm.name]
+            self._keep_working(vm.target_id)
 
     async def _store_done(self) -> None:
         change = RowChange(TABLE_TERM, UPKEEP_KEY, encode_upkeep(self._done), self._done_version)
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -188,3 +188,25 @@
     rig = BoardRig(targets=3)
     rig.add_job(make_job(Step(3, Resources(1000, 100), lasting=True, unavailable_limit=1)))
     assert len({order.target_id for order in rig.start()}) == 3
+
+
+def test_order_under_way_counts_as_away() -> None:
+    """Guards against two VMs ordered down at once that both have a task of a step that bears one.
+
+    Suspected on prevoz-plan scale-2, seed 446700882985: a report that came while an upkeep was
+    being ordered showed the task at work again.
+    """
+    rig = BoardRig(targets=2)
+    rig.add_job(make_job(Step(2, Resources(1000, 100), lasting=True, unavailable_limit=1)))
+    first, second = rig.start()
+    for order in (first, second):
+        rig.report(order.target_id, active=((order.key, order.run_id),))
+    board = rig.board
+    board.note_order(board.targets[first.target_id])
+    rig.report(first.target_id, active=((first.key, first.run_id),))
+    (health,) = board.list_step_health(board.targets[second.target_id])
+    assert health.away == 1
+    board.take_back_order(board.targets[first.target_id])
+    rig.report(first.target_id, active=((first.key, first.run_id),))
+    (health,) = board.list_step_health(board.targets[second.target_id])
+    assert health.away == 0
--- /dev/null
+++ b/tests/scheduling/test_target_link.py
@@ -0,0 +1,136 @@
+"""The link to a target: leases and silence."""
+
+from typing import Any, cast
+
+import pytest
+import trio
+
+from comfreywind.errors import TargetReplacedError, TargetSilentError
+from comfreywind.jobs.run_report import RunOutcome, TargetReport
+from comfreywind.platform.target_client import TargetClient
+from comfreywind.scheduling.progress_journal import ProgressJournal
+from comfreywind.scheduling.target_link import TargetLink
+from comfreywind.scheduling.term_keeper import TermKeeper
+from tests.helpers.board_rig import BoardRig
+from tests.helpers.trio_clock import TrioClock
+
+
+class FakeTarget:
+    """Answers holds with an empty list until it falls silent or is replaced."""
+
+    def __init__(self, rig: BoardRig) -> None:
+        """Answer for the runs that the board has on t0."""
+        self.rig = rig
+        self.failure: Exception | None = None
+        self.expiries: list[int | None] = []
+
+    async def hold(
+        self, fence: int, last_seen: int, expires_ms: int | None, wait_ms: int
+    ) -> TargetReport:
+        """Answer one hold."""
+        await trio.sleep(wait_ms / 1000)
+        if self.failure is not None:
+            raise self.failure
+        self.expiries.append(expires_ms)
+        return TargetReport(int(trio.current_time() * 1000), 1, (), ())
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+class ValidTerm:
+    """A term that never ends."""
+
+    def is_valid(self) -> bool:
+        """Return True."""
+        return True
+
+
+class NoJournal:
+    """A journal that stores at once."""
+
+    def wake(self) -> None:
+        """Do nothing."""
+
+    async def wait_stored(self, limit_s: float) -> None:
+        """Return after a moment."""
+        await trio.sleep(0.01)
+
+
+def make_link(rig: BoardRig, client: Any) -> TargetLink:
+    """Return the link of target t0."""
+    return TargetLink(
+        rig.board.targets['t0'],
+        cast('TargetClient', client),
+        rig.board,
+        cast('ProgressJournal', NoJournal()),
+        cast('TermKeeper', ValidTerm()),
+        TrioClock(),
+        6,
+        lambda orders: None,
+    )
+
+
+@pytest.mark.parametrize(
+    ('failure', 'limit_s'),
+    [(TargetSilentError('silent'), 7), (TargetReplacedError('another life'), 2)],
+)
+async def test_runs_of_lost_target(
+    autojump_clock: trio.testing.MockClock, failure: Exception, limit_s: float
+) -> None:
+    """Guards against tasks that never run again after their target has gone.
+
+    Seen on prevoz-plan mix, seed 726267510281: each look at a target that had left moved the end of
+    its lease on, so that its runs never lapsed.
+    """
+    rig = BoardRig(targets=1)
+    rig.add_job()
+    client = FakeTarget(rig)
+    async with trio.open_nursery() as nursery:
+        link = make_link(rig, client)
+        nursery.start_soon(link.run)
+        await trio.sleep(0.5)
+        (order,) = rig.plan()
+        rig.board.targets['t0'].runs[order.key].settled_s = float('inf')
+        link.wake()
+        await trio.sleep(0.5)
+        client.failure = failure
+        with trio.fail_after(limit_s):
+            while rig.board.targets['t0'].runs:
+                await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    assert rig.board.jobs[order.key.job_id].waiting == [order.key]
+
+
+async def test_lease_outlasts_silence(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a second run while the first may still hold its lease."""
+    rig = BoardRig(targets=1)
+    rig.add_job()
+    client = FakeTarget(rig)
+    async with trio.open_nursery() as nursery:
+        link = make_link(rig, client)
+        nursery.start_soon(link.run)
+        await trio.sleep(0.5)
+        (order,) = rig.plan()
+        rig.board.targets['t0'].runs[order.key].settled_s = float('inf')
+        link.wake()
+        await trio.sleep(1.5)
+        client.failure = TargetSilentError('silent')
+        last_expiry_s = max(expiry or 0 for expiry in client.expiries) / 1000
+        while rig.board.targets['t0'].runs:
+            assert trio.current_time() < last_expiry_s + 10
+            await trio.sleep(0.1)
+        assert trio.current_time() > last_expiry_s * 1.02
+        nursery.cancel_scope.cancel()
+
+
+def test_outcomes_are_known() -> None:
+    """Guards against an outcome on the wire that the product does not know."""
+    assert {outcome.value for outcome in RunOutcome} == {
+        'done',
+        'failed',
+        'stopped',
+        'lapsed',
+        'broken',
+        'alone',
+    }
