--- a/comfreywind/jobs/resources.py
+++ b/comfreywind/jobs/resources.py
@@ -27,6 +27,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def is_within(self, ceiling: 'Resources') -> bool:
+        """Return whether this amount is not above a ceiling, in which 0 means no limit."""
+        return not (
+            0 < ceiling.cpu_millicores < self.cpu_millicores
+            or 0 < ceiling.memory_mb < self.memory_mb
+            or 0 < ceiling.accelerators < self.accelerators
+        )
+
     def fits(self, free: 'Resources') -> bool:
         """Return whether this amount is free in full."""
         return (
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -8,9 +8,9 @@
 import logging
 from collections.abc import Iterable
 
-from comfreywind.decisions.scheduling.placement import TargetRoom, choose_target, find_request
+from comfreywind.decisions.scheduling.placement import find_request
+from comfreywind.decisions.scheduling.pace import choose_pace
 from comfreywind.decisions.scheduling.upkeep import StepHealth
-from comfreywind.decisions.scheduling.work_order import JobStanding, find_turn
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
@@ -22,7 +22,7 @@
 from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.job_record import JobRecord
-from comfreywind.scheduling.orders import Order, StartOrder, StopOrder
+from comfreywind.scheduling.orders import Order, PaceOrder, StartOrder, StopOrder
 from comfreywind.scheduling.run_record import RunRecord, RunState
 from comfreywind.scheduling.target_record import TargetRecord
 
@@ -41,6 +41,8 @@
     StartAnswer.STARTED: RunState.RUNNING,
     StartAnswer.UNKNOWN: RunState.UNCONFIRMED,
 }
+# Members of a gang are started within this time of each other.
+GANG_SETTLE_S = 0.5
 MS_PER_S = 1000
 NO_TARGETS: frozenset[str] = frozenset()
 
@@ -112,8 +114,8 @@
     def drop_runs(self, record: TargetRecord, now_s: float) -> None:
         """Requeue everything that ran on a target that certainly runs nothing any more."""
         for run in list(record.runs.values()):
-            self._forget_run(run)
-            self._requeue(run.key)
+            self.forget_run(run)
+            self.requeue(run.key)
         record.used = NO_RESOURCES
 
     def apply_report(
@@ -135,6 +137,7 @@
             orders.extend(self._apply_active(record, active.key, active.run_id, now_s))
             _note_level(record.runs.get(active.key), active)
         orders.extend(self._find_missing(record, listed, asked_s, now_s))
+        orders.extend(self._pace_fillers(record))
         return orders
 
     def note_start(self, order: StartOrder, answer: StartAnswer, now_s: float) -> list[Order]:
@@ -150,8 +153,8 @@
             return []
         log.info('task %s run %d: %s on %s', run.key, run.run_id, answer, order.target_id)
         self._note_refusal(record, answer, now_s)
-        self._forget_run(run)
-        self._requeue(run.key)
+        self.forget_run(run)
+        self.requeue(run.key)
         return []
 
     def note_stop(self, order: StopOrder, confirmed: bool, now_s: float) -> list[Order]:
@@ -167,18 +170,6 @@
 
     # What follows
 
-    def plan(self, now_s: float, now_ms: float) -> list[Order]:
-        """Return the starts and stops that can be ordered now."""
-        orders: list[Order] = []
-        pending_by_pool: dict[str, list[JobRecord]] = {}
-        for record in self.open_jobs.values():
-            self._unlock_steps(record, now_ms)
-            if record.waiting and record.settled:
-                pending_by_pool.setdefault(self.find_pool(record), []).append(record)
-        for pool, records in pending_by_pool.items():
-            orders.extend(self._plan_pool(pool, records, now_s, now_ms))
-        return orders
-
     def stop_job_runs(self, record: JobRecord, now_s: float) -> list[Order]:
         """Return the stops of all runs of a job."""
         orders: list[Order] = []
@@ -196,6 +187,18 @@
                     orders.extend(self.stop_run(run, now_s))
         return orders
 
+    def stop_broken_gangs(self, now_s: float) -> list[Order]:
+        """Return the stops of gangs of which a member has ended or was refused.
+
+        The others would wait in vain, or work on without it; the gang starts again as a whole.
+        """
+        orders: list[Order] = []
+        for record in self.open_jobs.values():
+            for run in record.list_broken_gang_runs():
+                if now_s - run.started_s > GANG_SETTLE_S:
+                    orders.extend(self.stop_run(run, now_s))
+        return orders
+
     def stop_run(self, run: RunRecord, now_s: float) -> list[Order]:
         """Return the stop of a run unless it is being stopped already."""
         if run.state is RunState.STOPPING:
@@ -301,119 +304,13 @@
         for record in records:
             record.settled = True
 
-    # Inside
-
-    def _plan_pool(
-        self, pool: str, records: list[JobRecord], now_s: float, now_ms: float
-    ) -> list[Order]:
-        targets = [record for record in self.list_pool_targets(pool) if record.may_start(now_s)]
-        if not targets:
-            return []
-        orders: list[Order] = []
-        records.sort(key=lambda record: find_turn(self._describe(record), now_ms))
-        for record in records:
-            orders.extend(self._start_waiting(record, targets, now_s))
-        return orders
-
-    def _describe(self, record: JobRecord) -> JobStanding:
-        queue = self.rules.queues.get(record.job.queue.name, record.job.queue)
-        return JobStanding(
-            lasting=record.job.lasting,
-            excess=record.excess,
-            priority=queue.priority,
-            accepted_ms=max(record.job.accepted_ms, record.job.first_due_ms),
-            objective_ms=record.objective_ms,
-            remaining_ms=record.remaining_ms,
-        )
-
-    def _start_waiting(
-        self, record: JobRecord, targets: list[TargetRecord], now_s: float
-    ) -> list[Order]:
-        orders: list[Order] = []
-        blocked_steps: set[tuple[int, int]] = set()
-        for key in list(record.waiting):
-            step_key = (key.occurrence, key.step)
-            if step_key in blocked_steps:
-                continue
-            order = self._start_task(record, key, targets, now_s)
-            if order is None:
-                blocked_steps.add(step_key)
-                continue
-            record.waiting.remove(key)
-            orders.append(order)
-        return orders
-
-    def _start_task(
-        self, record: JobRecord, key: TaskKey, targets: list[TargetRecord], now_s: float
-    ) -> StartOrder | None:
-        step = record.job.steps[key.step]
-        if not self._is_below_ceiling(record.job.team, step.request):
-            return None
-        avoided = record.failed_on.get(key, NO_TARGETS)
-        spread = step.target_limit or step.unavailable_limit
-        same_step = self._count_same_step(record, key) if spread else {}
-        room = choose_target(
-            step,
-            (
-                TargetRoom(
-                    target.entry.target_id,
-                    target.free,
-                    target.entry.labels,
-                    same_step.get(target.entry.target_id, 0),
-                    target.entry.target_id in avoided,
-                )
-                for target in targets
-            ),
-        )
-        if room is None:
-            return None
-        run = self._make_run(record, key, room.target_id, now_s)
-        task = (key.occurrence, key.step, key.number)
-        checkpoint = record.progress.checkpoints.get(task, '') if step.checkpointing else ''
-        if record.progress.state is JobState.QUEUED:
-            record.set_state(JobState.RUNNING)
-            self.mark_changed(record)
-        return StartOrder(room.target_id, key, run.run_id, record.job.spec, checkpoint)
-
-    def _make_run(self, record: JobRecord, key: TaskKey, target_id: str, now_s: float) -> RunRecord:
-        step = record.job.steps[key.step]
-        run_id = record.last_run_ids.get(key, (self.epoch - 1) * RUNS_PER_TERM) + 1
-        record.last_run_ids[key] = run_id
-        run = RunRecord(
-            key,
-            run_id,
-            target_id,
-            record.job.team,
-            find_request(step),
-            step.request,
-            RunState.STARTING,
-            now_s,
-            now_s,
-        )
-        self._add_run(run, record)
-        return run
-
-    def _is_lasting(self, key: TaskKey) -> bool:
-        record = self.jobs.get(key.job_id)
-        return record is not None and record.open and record.job.steps[key.step].lasting
-
-    def _read_step_health(self, job_id: str, occurrence: int, number: int) -> StepHealth:
-        record = self.jobs[job_id]
-        step = record.job.steps[number]
-        at_work_on: dict[str, int] = {}
-        for run in record.runs.values():
-            if (run.key.occurrence, run.key.step) == (occurrence, number) and run.at_work:
-                at_work_on[run.target_id] = at_work_on.get(run.target_id, 0) + 1
-        away = step.task_count - sum(at_work_on.values())
-        return StepHealth(step.unavailable_limit, away, at_work_on)
-
-    def _add_run(self, run: RunRecord, record: JobRecord | None) -> None:
+    def add_run(self, run: RunRecord, record: JobRecord | None) -> None:
         self.targets[run.target_id].add_run(run)
         self.team_use[run.team] = self.team_use.get(run.team, NO_RESOURCES).add(run.request)
         if record is not None:
             record.runs[run.key] = run
 
-    def _forget_run(self, run: RunRecord) -> None:
+    def forget_run(self, run: RunRecord) -> None:
         target = self.targets.get(run.target_id)
         if target is None or target.runs.get(run.key) is not run:
             return
@@ -422,16 +319,28 @@
         record = self.jobs.get(run.key.job_id)
         if record is not None and record.runs.get(run.key) is run:
             del record.runs[run.key]
-            if run.checkpoint:
-                task = (run.key.occurrence, run.key.step, run.key.number)
-                record.progress.checkpoints[task] = run.checkpoint
+            record.note_checkpoint(run.key, run.checkpoint)
 
-    def _requeue(self, key: TaskKey) -> None:
+    def requeue(self, key: TaskKey) -> None:
         record = self.jobs.get(key.job_id)
         if record is None or not record.may_wait(key):
             return
         record.waiting.append(key)
 
+    def _is_lasting(self, key: TaskKey) -> bool:
+        record = self.jobs.get(key.job_id)
+        return record is not None and record.open and record.job.steps[key.step].lasting
+
+    def _read_step_health(self, job_id: str, occurrence: int, number: int) -> StepHealth:
+        record = self.jobs[job_id]
+        step = record.job.steps[number]
+        at_work_on: dict[str, int] = {}
+        for run in record.runs.values():
+            if (run.key.occurrence, run.key.step) == (occurrence, number) and run.at_work:
+                at_work_on[run.target_id] = at_work_on.get(run.target_id, 0) + 1
+        away = step.task_count - sum(at_work_on.values())
+        return StepHealth(step.unavailable_limit, away, at_work_on)
+
     def _note_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
         if answer is StartAnswer.REPLACED:
             record.leaving = True
@@ -449,10 +358,10 @@
         record = self.jobs.get(ended.key.job_id)
         if run is not None and run.run_id == ended.run_id:
             run.checkpoint = ended.checkpoint or run.checkpoint
-            self._forget_run(run)
+            self.forget_run(run)
         if record is not None:
             self._note_outcome(record, target, ended, now_s)
-            self._requeue(ended.key)
+            self.requeue(ended.key)
 
     def _note_outcome(
         self, record: JobRecord, target: TargetRecord, ended: EndedRun, now_s: float
@@ -460,8 +369,9 @@
         lasting = record.job.steps[ended.key.step].lasting
         if ended.outcome is RunOutcome.DONE and not lasting:
             target.failure_streak = 0
-            if record.note_done(ended.key):
-                self._note_done(record, ended.key)
+            for key in record.list_represented(ended.key):
+                if record.note_done(key):
+                    self._note_done(record, key)
         elif ended.outcome is RunOutcome.FAILED:
             self._note_failure(record, target, ended, now_s)
         else:
@@ -489,7 +399,7 @@
         record.failed_on.setdefault(key, set()).add(target.entry.target_id)
         if target.failure_streak >= FAILURE_STREAK_LIMIT:
             target.barred_until_s = now_s + BAR_AFTER_FAILURES_S
-        task = (key.occurrence, key.step, key.number)
+        task = (key.occurrence, key.step, record.list_represented(key)[0].number)
         failures = record.progress.failures.get(task, 0) + 1
         log.info(
             'task %s run %d: failed on %s, attempt %d',
@@ -524,15 +434,30 @@
         if record is None or not _is_wanted(record, key):
             log.info('task %s run %d is not wanted on %s', key, run_id, target.entry.target_id)
             run = _make_adopted(target, key, run_id, now_s, Step(1, NO_RESOURCES), '')
-            self._add_run(run, None)
+            self.add_run(run, None)
             return self.stop_run(run, now_s)
         step = record.job.steps[key.step]
-        self._add_run(_make_adopted(target, key, run_id, now_s, step, record.job.team), record)
+        self.add_run(_make_adopted(target, key, run_id, now_s, step, record.job.team), record)
         record.last_run_ids[key] = max(run_id, record.last_run_ids.get(key, 0))
         if key in record.waiting:
             record.waiting.remove(key)
         return []
 
+    def _pace_fillers(self, target: TargetRecord) -> list[Order]:
+        """Return the orders that keep fillers from harming the tasks that serve beside them."""
+        ratios = [
+            run.level / run.tail_limit_ms for run in target.runs.values() if run.tail_limit_ms
+        ]
+        orders: list[Order] = []
+        for run in target.runs.values():
+            if not run.filler or run.state is not RunState.RUNNING:
+                continue
+            percent = choose_pace(run.pace_percent, max(ratios, default=0))
+            if percent != run.pace_percent:
+                run.pace_percent = percent
+                orders.append(PaceOrder(run.target_id, run.key, run.run_id, percent))
+        return orders
+
     def _find_missing(
         self, target: TargetRecord, listed: set[TaskKey], asked_s: float, now_s: float
     ) -> list[Order]:
@@ -550,41 +475,14 @@
             return self.stop_run(run, now_s)
         if run.state is RunState.RUNNING or run.stop_confirmed:
             log.info('task %s run %d is gone from %s', run.key, run.run_id, run.target_id)
-            self._forget_run(run)
-            self._requeue(run.key)
+            self.forget_run(run)
+            self.requeue(run.key)
         return []
 
-    def _unlock_steps(self, record: JobRecord, now_ms: float) -> None:
-        for step_key in record.find_unlocked(now_ms, early_ms=0):
-            record.unlocked.add(step_key)
-            occurrence, number = step_key
-            for index in range(record.job.steps[number].task_count):
-                key = TaskKey(record.job.job_id, occurrence, number, index)
-                self._requeue(key)
-
     def _close_job(self, record: JobRecord) -> None:
         record.waiting.clear()
         self.open_jobs.pop(record.job.job_id, None)
 
-    def _is_below_ceiling(self, team_name: str, request: Resources) -> bool:
-        team = self.rules.teams.get(team_name)
-        if team is None:
-            return True
-        total = self.team_use.get(team_name, NO_RESOURCES).add(request)
-        ceiling = team.ceiling
-        return not (
-            0 < ceiling.cpu_millicores < total.cpu_millicores
-            or 0 < ceiling.memory_mb < total.memory_mb
-            or 0 < ceiling.accelerators < total.accelerators
-        )
-
-    def _count_same_step(self, record: JobRecord, key: TaskKey) -> dict[str, int]:
-        counts: dict[str, int] = {}
-        for run in record.runs.values():
-            if (run.key.occurrence, run.key.step) == (key.occurrence, key.step):
-                counts[run.target_id] = counts.get(run.target_id, 0) + 1
-        return counts
-
 
 def _note_level(run: RunRecord | None, active: ActiveRun) -> None:
     if run is None or run.run_id != active.run_id:
@@ -613,4 +511,6 @@
         RunState.RUNNING,
         now_s,
         now_s,
+        tail_limit_ms=step.tail_limit_ms,
+        filler=step.filler,
     )
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -18,14 +18,17 @@
     TERM_KEY,
     TERM_PART,
 )
+from comfreywind.platform.advice_client import AdviceClient
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.platform.target_codec import decode_target
 from comfreywind.platform.vm_client import VmClient
 from comfreywind.platform.wire import TABLE_SERVERS
+from comfreywind.scheduling.advice_keeper import AdviceKeeper
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.orders import Order
+from comfreywind.scheduling.planner import Planner
 from comfreywind.scheduling.pool_keeper import PoolKeeper
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.row_feed import RowFeed
@@ -71,6 +74,7 @@
         self._keeper = keeper
         self._clock = clock
         self.board = Board(term.epoch)
+        self._planner = Planner(self.board)
         self.journal = ProgressJournal(rows, self.board)
         self._links: dict[str, TargetLink] = {}
         self._nursery: trio.Nursery | None = None
@@ -107,6 +111,10 @@
                 len(self.board.targets),
             )
             nursery.start_soon(self._tick)
+            if self._settings.advice_address is not None:
+                client = AdviceClient(self._settings.advice_address)
+                advice = AdviceKeeper(client, self._planner, self._clock, self._wake_planner)
+                nursery.start_soon(advice.run)
             if self._settings.vm_service_address is not None:
                 self._start_vm_tasks(nursery, self._settings.vm_service_address)
             await self._plan_forever()
@@ -289,7 +297,8 @@
         if self._rules.rules is not None:
             self.board.rules = self._rules.rules
         orders = self.board.stop_closed_jobs(now_s)
-        orders.extend(self.board.plan(now_s, now_ms))
+        orders.extend(self.board.stop_broken_gangs(now_s))
+        orders.extend(self._planner.plan(now_s, now_ms))
         if self.board.changed_jobs:
             self.journal.wake()
         for order in orders:
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -86,19 +86,47 @@
         """Return whether all tasks of all occurrences are done."""
         return not any(self.left_in_step.values())
 
-    def find_unlocked(self, now_ms: float, early_ms: float) -> list[tuple[int, int]]:
+    def find_unlocked(self, now_ms: float) -> list[tuple[int, int]]:
         """Return the steps whose turn has come and whose tasks are not yet in `waiting`."""
         unlocked = []
         for step_key in self.left_in_step:
             if step_key in self.unlocked or not self.left_in_step[step_key]:
                 continue
             occurrence, number = step_key
-            due = self.job.find_due_ms(occurrence) <= now_ms + early_ms
+            due = self.job.find_due_ms(occurrence) <= now_ms
             earlier = self.job.steps[number].after
             if due and not any(self.left_in_step[occurrence, step] for step in earlier):
                 unlocked.append(step_key)
         return unlocked
 
+    def list_represented(self, key: TaskKey) -> list[TaskKey]:
+        """Return the tasks for which an end of this one stands: a gang ends as one."""
+        step = self.job.steps[key.step]
+        if not step.gang:
+            return [key]
+        return [key._replace(number=number) for number in range(step.task_count)]
+
+    def list_broken_gang_runs(self) -> list[RunRecord]:
+        """Return the runs of gangs of which other members wait to be started."""
+        waiting = {(key.occurrence, key.step) for key in self.waiting}
+        return [
+            run
+            for key, run in self.runs.items()
+            if (key.occurrence, key.step) in waiting and self.job.steps[key.step].gang
+        ]
+
+    def find_checkpoint(self, key: TaskKey) -> str:
+        """Return the checkpoint that a start carries; the members of a gang share one."""
+        step = self.job.steps[key.step]
+        if not step.checkpointing:
+            return ''
+        return self.progress.checkpoints.get(self._name_checkpoint(key), '')
+
+    def note_checkpoint(self, key: TaskKey, checkpoint: str) -> None:
+        """Keep the checkpoint of a run that has ended."""
+        if checkpoint and self.job.steps[key.step].checkpointing:
+            self.progress.checkpoints[self._name_checkpoint(key)] = checkpoint
+
     def update_remaining(self) -> None:
         """Estimate the longest chain of work that is left."""
         last = self.job.count_occurrences() - 1
@@ -112,3 +140,7 @@
         if self.progress.state is not state:
             self.progress.state = state
             self.changed = True
+
+    def _name_checkpoint(self, key: TaskKey) -> tuple[int, int, int]:
+        number = 0 if self.job.steps[key.step].gang else key.number
+        return (key.occurrence, key.step, number)
--- /dev/null
+++ b/comfreywind/scheduling/planner.py
@@ -0,0 +1,273 @@
+"""Decides from the board which tasks start now, and on which targets."""
+
+from collections.abc import Iterable
+
+from comfreywind.decisions.scheduling.placement import (
+    TargetRoom,
+    choose_rack,
+    choose_target,
+    find_request,
+)
+from comfreywind.decisions.scheduling.work_order import JobStanding, find_turn
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.resources import NO_RESOURCES, Resources
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.scheduling.advice import Advice, AdviceQuestion
+from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.job_record import JobRecord
+from comfreywind.scheduling.orders import Order, StartOrder
+from comfreywind.scheduling.run_record import RunRecord, RunState
+from comfreywind.scheduling.target_record import TargetRecord
+
+# Run ids of one term; a task that is started more often than that waits for the next term.
+RUNS_PER_TERM = 1_000
+# The service takes a time for each target that a question names.
+TARGETS_PER_QUESTION = 30
+# Left of a ticket's validity for the order to reach the target.
+TICKET_MARGIN_S = 0.4
+MS_PER_S = 1000
+NO_TARGETS: frozenset[str] = frozenset()
+
+
+class Planner:
+    """Starts of the tasks that wait on a board."""
+
+    def __init__(self, board: Board) -> None:
+        """Plan for this board."""
+        self._board = board
+        self._advice: dict[tuple[str, int, int], Advice] = {}
+        self._questions: list[AdviceQuestion] = []
+
+    def plan(self, now_s: float, now_ms: float) -> list[Order]:
+        """Return the starts that can be ordered now."""
+        orders: list[Order] = []
+        self._questions.clear()
+        waiting_by_pool: dict[str, list[JobRecord]] = {}
+        for record in self._board.open_jobs.values():
+            self._unlock_steps(record, now_ms)
+            if record.waiting and record.settled:
+                waiting_by_pool.setdefault(self._board.find_pool(record), []).append(record)
+        for pool, records in waiting_by_pool.items():
+            orders.extend(self._plan_pool(pool, records, now_s, now_ms))
+        return orders
+
+    def find_question(self, now_s: float) -> AdviceQuestion | None:
+        """Return the first question that the last plan had to leave open."""
+        for question in self._questions:
+            advice = self._advice.get((question.job_id, question.occurrence, question.step))
+            if advice is None or _needs_question(advice, question.target_ids, now_s):
+                return question
+        return None
+
+    def note_advice(
+        self, question: AdviceQuestion, tickets: dict[str, str], asked_s: float
+    ) -> None:
+        """Take in an answer; the tickets count from the question, as the service may have."""
+        key = (question.job_id, question.occurrence, question.step)
+        record = self._board.jobs.get(question.job_id)
+        if record is None:
+            return
+        advice = self._advice.setdefault(key, Advice())
+        advice.asked.update(question.target_ids)
+        advice.tickets.update(tickets)
+        validity_s = record.job.queue.advice_validity_ms / MS_PER_S
+        advice.valid_until_s = asked_s + validity_s - TICKET_MARGIN_S
+
+    def _plan_pool(
+        self, pool: str, records: list[JobRecord], now_s: float, now_ms: float
+    ) -> list[Order]:
+        targets = [
+            target for target in self._board.list_pool_targets(pool) if target.may_start(now_s)
+        ]
+        if not targets:
+            return []
+        orders: list[Order] = []
+        records.sort(key=lambda record: find_turn(self._describe(record), now_ms))
+        for record in records:
+            orders.extend(self._start_waiting(record, targets, now_s))
+        return orders
+
+    def _describe(self, record: JobRecord) -> JobStanding:
+        queue = self._board.rules.queues.get(record.job.queue.name, record.job.queue)
+        return JobStanding(
+            lasting=record.job.lasting,
+            excess=record.excess,
+            priority=queue.priority,
+            accepted_ms=max(record.job.accepted_ms, record.job.first_due_ms),
+            objective_ms=record.objective_ms,
+            remaining_ms=record.remaining_ms,
+        )
+
+    def _start_waiting(
+        self, record: JobRecord, targets: list[TargetRecord], now_s: float
+    ) -> list[Order]:
+        by_step: dict[tuple[int, int], list[TaskKey]] = {}
+        for key in record.waiting:
+            by_step.setdefault((key.occurrence, key.step), []).append(key)
+        orders: list[Order] = []
+        for step_key, keys in by_step.items():
+            allowed = self._filter_approved(record, step_key, targets, now_s)
+            if record.job.steps[step_key[1]].gang:
+                orders.extend(self._start_gang(record, keys, allowed, now_s))
+            else:
+                orders.extend(self._start_tasks(record, keys, allowed, now_s))
+        if orders and record.progress.state is JobState.QUEUED:
+            record.set_state(JobState.RUNNING)
+            self._board.mark_changed(record)
+        return orders
+
+    def _start_tasks(
+        self, record: JobRecord, keys: list[TaskKey], targets: list[TargetRecord], now_s: float
+    ) -> list[Order]:
+        orders: list[Order] = []
+        for key in keys:
+            run_id = self._find_run_id(record, [key])
+            order = self._start_task(record, key, run_id, targets, now_s)
+            if order is None:
+                break
+            orders.append(order)
+        return orders
+
+    def _start_gang(
+        self, record: JobRecord, keys: list[TaskKey], targets: list[TargetRecord], now_s: float
+    ) -> list[Order]:
+        """Start all tasks of a gang with one run id, or none.
+
+        A gang whose earlier run has not ended everywhere waits, because its tasks work only with
+        those of the same run.
+        """
+        step = record.job.steps[keys[0].step]
+        if len(keys) < step.task_count:
+            return []
+        rooms = [self._describe_room(target, NO_TARGETS, {}) for target in targets]
+        rack = choose_rack(step, rooms) if step.same_rack else None
+        within = [target for target in targets if rack is None or rack in target.entry.labels]
+        run_id = self._find_run_id(record, keys)
+        orders: list[StartOrder] = []
+        for key in keys:
+            order = self._start_task(record, key, run_id, within, now_s)
+            if order is None:
+                self._take_back(record, orders)
+                return []
+            orders.append(order)
+        return list(orders)
+
+    def _take_back(self, record: JobRecord, orders: Iterable[StartOrder]) -> None:
+        """Undo starts that were not sent."""
+        for order in orders:
+            record.last_run_ids[order.key] = order.run_id - 1
+            self._board.forget_run(record.runs[order.key])
+            self._board.requeue(order.key)
+
+    def _start_task(
+        self,
+        record: JobRecord,
+        key: TaskKey,
+        run_id: int,
+        targets: list[TargetRecord],
+        now_s: float,
+    ) -> StartOrder | None:
+        step = record.job.steps[key.step]
+        if not self._is_below_ceiling(record.job.team, step.request):
+            return None
+        avoided = record.failed_on.get(key, NO_TARGETS)
+        spread = step.target_limit or step.unavailable_limit
+        same_step = self._count_same_step(record, key) if spread else {}
+        room = choose_target(
+            step, (self._describe_room(target, avoided, same_step) for target in targets)
+        )
+        if room is None:
+            return None
+        self._add_run(record, key, run_id, room.target_id, now_s)
+        advice = self._advice.get((key.job_id, key.occurrence, key.step))
+        return StartOrder(
+            room.target_id,
+            key,
+            run_id,
+            record.job.spec,
+            record.find_checkpoint(key),
+            '' if advice is None else advice.tickets.get(room.target_id, ''),
+        )
+
+    def _describe_room(
+        self, target: TargetRecord, avoided: Iterable[str], same_step: dict[str, int]
+    ) -> TargetRoom:
+        target_id = target.entry.target_id
+        return TargetRoom(
+            target_id,
+            target.free,
+            target.entry.labels,
+            same_step.get(target_id, 0),
+            target_id in avoided,
+            any(run.tail_limit_ms for run in target.runs.values()),
+        )
+
+    def _find_run_id(self, record: JobRecord, keys: list[TaskKey]) -> int:
+        first = (self._board.epoch - 1) * RUNS_PER_TERM
+        return 1 + max(record.last_run_ids.get(key, first) for key in keys)
+
+    def _add_run(
+        self, record: JobRecord, key: TaskKey, run_id: int, target_id: str, now_s: float
+    ) -> None:
+        step = record.job.steps[key.step]
+        record.last_run_ids[key] = run_id
+        record.waiting.remove(key)
+        run = RunRecord(
+            key,
+            run_id,
+            target_id,
+            record.job.team,
+            find_request(step),
+            step.request,
+            RunState.STARTING,
+            now_s,
+            now_s,
+            tail_limit_ms=step.tail_limit_ms,
+            filler=step.filler,
+        )
+        self._board.add_run(run, record)
+
+    def _filter_approved(
+        self,
+        record: JobRecord,
+        step_key: tuple[int, int],
+        targets: list[TargetRecord],
+        now_s: float,
+    ) -> list[TargetRecord]:
+        """Return the targets with a valid ticket, and note the question for the others."""
+        if not record.job.queue.advice_validity_ms:
+            return targets
+        occurrence, number = step_key
+        job_id = record.job.job_id
+        advice = self._advice.setdefault((job_id, occurrence, number), Advice())
+        named = tuple(target.entry.target_id for target in targets)[:TARGETS_PER_QUESTION]
+        if _needs_question(advice, named, now_s):
+            self._questions.append(AdviceQuestion(job_id, occurrence, number, named))
+        if now_s >= advice.valid_until_s:
+            return []
+        return [target for target in targets if target.entry.target_id in advice.tickets]
+
+    def _unlock_steps(self, record: JobRecord, now_ms: float) -> None:
+        for step_key in record.find_unlocked(now_ms):
+            record.unlocked.add(step_key)
+            occurrence, number = step_key
+            for index in range(record.job.steps[number].task_count):
+                self._board.requeue(TaskKey(record.job.job_id, occurrence, number, index))
+
+    def _is_below_ceiling(self, team_name: str, request: Resources) -> bool:
+        team = self._board.rules.teams.get(team_name)
+        if team is None:
+            return True
+        total = self._board.team_use.get(team_name, NO_RESOURCES).add(request)
+        return total.is_within(team.ceiling)
+
+    def _count_same_step(self, record: JobRecord, key: TaskKey) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for run in record.runs.values():
+            if (run.key.occurrence, run.key.step) == (key.occurrence, key.step):
+                counts[run.target_id] = counts.get(run.target_id, 0) + 1
+        return counts
+
+
+def _needs_question(advice: Advice, target_ids: tuple[str, ...], now_s: float) -> bool:
+    return now_s >= advice.valid_until_s or not advice.asked.issuperset(target_ids)
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -40,3 +40,5 @@
     level: float = 0
     pace_percent: int = 100
     idle_since_s: float | None = None
+    tail_limit_ms: int = 0
+    filler: bool = False
--- a/tests/helpers/board_rig.py
+++ b/tests/helpers/board_rig.py
@@ -14,6 +14,7 @@
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.jobs.team import Team
 from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.planner import Planner
 from comfreywind.scheduling.orders import Order, StartOrder, StopOrder
 from comfreywind.settings.address import Address
 
@@ -36,6 +37,7 @@
     def __init__(self, targets: int = 2, cpu: int = 4000, epoch: int = 1) -> None:
         """Register the targets t0, t1, ... which have reported nothing running."""
         self.board = Board(epoch)
+        self.planner = Planner(self.board)
         self.board.rules = JobRules(1, queues={QUEUE.name: QUEUE}, teams={TEAM: Team(TEAM)})
         self.now_s = 100.0
         self.ends: dict[str, int] = {}
@@ -57,7 +59,7 @@
 
     def plan(self) -> list[Order]:
         """Return the orders of a plan."""
-        return self.board.plan(self.now_s, self.now_s * 1000)
+        return self.planner.plan(self.now_s, self.now_s * 1000)
 
     def start(self) -> list[StartOrder]:
         """Plan and let every target confirm its starts."""
@@ -76,6 +78,7 @@
         active: tuple[tuple[TaskKey, int], ...] = (),
         ended: tuple[tuple[TaskKey, int, RunOutcome], ...] = (),
         born_ms: int = 1,
+        levels: dict[TaskKey, float] | None = None,
     ) -> list[Order]:
         """Let a target report runs; the report was asked for now."""
         self.now_s += 0.1
@@ -83,7 +86,10 @@
         for key, run_id, outcome in ended:
             self.ends[target] = self.ends.get(target, 0) + 1
             rows.append(EndedRun(self.ends[target], key, run_id, outcome, ''))
-        runs = tuple(ActiveRun(key, run_id, '', 100, 0) for key, run_id in active)
+        level_of = levels or {}
+        runs = tuple(
+            ActiveRun(key, run_id, '', 100, level_of.get(key, 0)) for key, run_id in active
+        )
         report = TargetReport(0, born_ms, runs, tuple(rows))
         record = self.board.targets[target]
         return self.board.apply_report(record, report, self.now_s, self.now_s)
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -1,5 +1,7 @@
 """Runs of tasks: each failure that the board guards against."""
 
+from dataclasses import replace
+
 import pytest
 
 from comfreywind.jobs.job_state import JobState
@@ -10,8 +12,9 @@
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.jobs.team import Team
+from comfreywind.scheduling.orders import PaceOrder
 from comfreywind.scheduling.run_record import RunState
-from tests.helpers.board_rig import JOB_ID, STEP, TEAM, BoardRig, list_stops, make_job
+from tests.helpers.board_rig import JOB_ID, QUEUE, STEP, TEAM, BoardRig, list_stops, make_job
 
 KEY = TaskKey(JOB_ID, 0, 0, 0)
 
@@ -210,3 +213,120 @@
     rig.report(first.target_id, active=((first.key, first.run_id),))
     (health,) = board.list_step_health(board.targets[second.target_id])
     assert health.away == 0
+
+
+GANG = Step(3, Resources(1000, 100), gang=True)
+
+
+def test_gang_starts_whole() -> None:
+    """Guards against a gang of which some members wait for others that have no room."""
+    rig = BoardRig(targets=1, cpu=2000)
+    rig.add_job(make_job(GANG))
+    assert not rig.plan()
+    assert rig.board.targets['t0'].used == Resources()
+    rig.add_target('t1', cpu=2000)
+    assert {order.run_id for order in rig.start()} == {1}
+
+
+def test_gang_member_refused() -> None:
+    """Guards against members that end alone: after a refusal the others are stopped first."""
+    rig = BoardRig()
+    rig.add_job(make_job(GANG))
+    first, *others = [order for order in rig.plan()]
+    rig.answer(first, StartAnswer.NO_ROOM)  # type: ignore[arg-type]
+    for order in others:
+        rig.answer(order, StartAnswer.STARTED)  # type: ignore[arg-type]
+    rig.now_s += 1
+    stops = list_stops(rig.board.stop_broken_gangs(rig.now_s))
+    assert [key.number for key, _ in stops] == [1, 2]
+    assert not rig.plan()
+    for order in others:
+        rig.end(order, RunOutcome.STOPPED)  # type: ignore[arg-type]
+    assert {order.run_id for order in rig.start()} == {2}
+
+
+def test_gang_is_done_with_one_end() -> None:
+    """Guards against a gang that runs again although one end `done` stands for all members."""
+    rig = BoardRig()
+    rig.add_job(make_job(GANG))
+    rig.end(rig.start()[1], RunOutcome.DONE)
+    assert rig.board.jobs[JOB_ID].progress.state is JobState.COMPLETE
+
+
+def test_gang_in_one_rack() -> None:
+    """Guards against a gang that is spread over racks when one rack has room for it."""
+    rig = BoardRig(targets=0)
+    for rack, count in (('r1', 1), ('r2', 2)):
+        for number in range(count):
+            rig.add_target(f'{rack}-{number}', 2000, frozenset(('a', rack)))
+    rig.add_job(make_job(Step(3, Resources(1000, 100), gang=True, same_rack=True)))
+    assert {order.target_id[:2] for order in rig.start()} == {'r2'}
+
+
+def test_advice() -> None:
+    """Guards against starts without a ticket, or with one that is no longer valid."""
+    rig = BoardRig()
+    queue = replace(QUEUE, advice_validity_ms=3000)
+    rig.add_job(make_job(queue=queue))
+    assert not rig.plan()
+    question = rig.planner.find_question(rig.now_s)
+    assert question is not None
+    assert question.target_ids == ('t0', 't1')
+    rig.planner.note_advice(question, {'t1': 'ticket-1'}, rig.now_s)
+    rig.now_s += 3
+    assert not rig.plan()
+    rig.planner.note_advice(question, {'t1': 'ticket-2'}, rig.now_s)
+    (order,) = rig.start()
+    assert (order.target_id, order.ticket) == ('t1', 'ticket-2')
+
+
+@pytest.mark.parametrize(
+    ('tail_ms', 'percent'), [(50, None), (90, 50), (120, 0)], ids=['calm', 'near', 'over']
+)
+def test_fillers_are_paced(tail_ms: float, percent: int | None) -> None:
+    """Guards against users whose responses stay slow because of fillers beside their tasks."""
+    rig = BoardRig(targets=1)
+    serving = Step(1, Resources(1000, 100), lasting=True, tail_limit_ms=100)
+    rig.add_job(make_job(serving, Step(1, Resources(1000, 100), filler=True)))
+    orders = rig.start()
+    active = tuple((order.key, order.run_id) for order in orders)
+    paces = rig.report('t0', active=active, levels={orders[0].key: tail_ms})
+    assert [order.percent for order in paces if isinstance(order, PaceOrder)] == (
+        [] if percent is None else [percent]
+    )
+
+
+def test_occurrences_start_when_due() -> None:
+    """Guards against an occurrence of a timed job that starts before its time."""
+    rig = BoardRig()
+    due_ms = int(rig.now_s * 1000) + 5000
+    rig.add_job(make_job(occurrence_count=2, first_due_ms=due_ms, interval_ms=1000))
+    assert not rig.plan()
+    rig.now_s += 5.001
+    assert [order.key.occurrence for order in rig.start()] == [0]
+    rig.now_s += 1
+    assert [order.key.occurrence for order in rig.start()] == [1]
+
+
+@pytest.mark.parametrize(
+    ('step', 'target'),
+    [
+        (Step(1, Resources(1000, 100), required_label='big'), 't2'),
+        (Step(1, Resources(1000, 100), preferred_rack='r9'), 't2'),
+        (Step(1, Resources(9000, 100)), None),
+    ],
+)
+def test_placement(step: Step, target: str | None) -> None:
+    """Guards against tasks on targets that lack a label, the data or the room."""
+    rig = BoardRig()
+    rig.add_target('t2', 4000, frozenset(('big', 'r9')))
+    rig.add_job(make_job(step))
+    assert [order.target_id for order in rig.start()] == ([] if target is None else [target])
+
+
+def test_tasks_per_target() -> None:
+    """Guards against more tasks of a step on one target than the step allows."""
+    rig = BoardRig(targets=2)
+    rig.add_job(make_job(Step(5, Resources(100, 10), target_limit=2)))
+    starts = rig.start()
+    assert sorted(order.target_id for order in starts) == ['t0', 't0', 't1', 't1']
