--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 demo: setup
 	$(BIN)/python -m bench.demo
+	$(BIN)/python -m bench.job_demo
 
 bench: setup
 	$(BIN)/python -m bench.run
--- /dev/null
+++ b/bench/job_fleet.py
@@ -0,0 +1,168 @@
+"""Nodes, targets and a store stand-in in one process, on loopback."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+import trio
+
+from bench.ports import PORTS
+from comfreywind.clock import SystemClock
+from comfreywind.http.client import HttpClient, HttpReply
+from comfreywind.http.server import serve_app
+from comfreywind.node.run import Node
+from comfreywind.settings.address import Address
+from comfreywind.settings.node import JobTimings, NodeSettings, StoreLimits
+from comfreywind.stand_ins.jobs.store_app import StoreApp
+from comfreywind.stand_ins.jobs.target_app import JobTargetApp, StartLog
+
+HOST = '127.0.0.1'
+QUEUE_HOST = 'jobs.example'
+PREFIX = '/rebuild/'
+POOL = 'crossings'
+KEY = 'key-of-crews'
+TARGET_CPU = 4000
+WAIT_LIMIT_S = 20.0
+
+
+def make_config(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict[str, object]:
+    """Return an operator's configuration with one queue and one team."""
+    route = {
+        'name': 'rebuild',
+        'host': QUEUE_HOST,
+        'prefix': PREFIX,
+        'service': POOL,
+        'max_attempts': 3,
+        'stretch_factor': 1.6,
+        'target_latency_ms': 600,
+    }
+    tenant = {'name': 'crews', 'api_keys': list(keys), 'weight': 10, 'cap': {}}
+    return {
+        'version': version,
+        'routes': [route],
+        'services': [{'name': POOL, 'admission_control': True, 'standby': False}],
+        'tenants': [tenant],
+    }
+
+
+@dataclass(slots=True)
+class JobFleet:
+    """Handles of a running fleet; a scope ends its node at once, as a kill does."""
+
+    store: StoreApp
+    targets: list[JobTargetApp]
+    node_addresses: list[Address]
+    scopes: list[trio.CancelScope] = field(default_factory=list)
+    log: StartLog = field(default_factory=StartLog)
+
+    async def call(
+        self, node: int, method: str, path: str, document: object | None = None, key: str = KEY
+    ) -> HttpReply:
+        """Call a node as a caller of the queue."""
+        client = HttpClient(self.node_addresses[node], 5)
+        headers = [(b'host', QUEUE_HOST.encode()), (b'authorization', f'Bearer {key}'.encode())]
+        try:
+            return await client.call(method, f'{PREFIX}{path}', document, headers)
+        finally:
+            await client.close()
+
+    async def submit(self, node: int, job_id: str, spec: str = '', count: int = 2) -> int:
+        """Hand in a job of one step and return the status of the answer."""
+        step = {'count': count, 'cpu': 500, 'mem_mb': 100, 'estimate_ms': 200}
+        reply = await self.call(node, 'POST', job_id, {'spec': spec, 'steps': [step]})
+        return reply.status
+
+    async def read_state(self, node: int, job_id: str) -> str:
+        """Return the state of a job, or the status of an answer without one."""
+        reply = await self.call(node, 'GET', job_id)
+        return str(json.loads(reply.body).get('state', reply.status))
+
+    async def wait_for_state(self, node: int, job_id: str, state: str) -> None:
+        """Return once a node tells the state; raise trio.TooSlowError when it never does."""
+        with trio.fail_after(WAIT_LIMIT_S):
+            while await self.read_state(node, job_id) != state:
+                await trio.sleep(0.05)
+
+
+@asynccontextmanager
+async def run_job_fleet(node_count: int = 2, target_count: int = 2) -> AsyncIterator[JobFleet]:
+    """Run a fleet until the block is left."""
+    address_count = 1 + target_count + 2 * node_count
+    addresses = [Address(HOST, PORTS.find_free()) for _ in range(address_count)]
+    store, shutdown, log = StoreApp(), trio.Event(), StartLog()
+    target_addresses = addresses[1 : 1 + target_count]
+    node_addresses = addresses[1 + target_count :: 2]
+    ready_addresses = addresses[2 + target_count :: 2]
+    async with trio.open_nursery() as nursery:
+        targets = [JobTargetApp(log) for _ in target_addresses]
+        fleet = JobFleet(store, targets, node_addresses, log=log)
+        store.write_document('op', 'config', make_config())
+        nursery.start_soon(partial(serve_app, store, addresses[0], shutdown))
+        for number, (target, address) in enumerate(zip(targets, target_addresses, strict=True)):
+            store.write_document('servers', f'i-{number}', describe_target(address))
+            nursery.start_soon(partial(serve_app, target, address, shutdown))
+        for number, (address, ready) in enumerate(
+            zip(node_addresses, ready_addresses, strict=True)
+        ):
+            settings = make_settings(f'node-{number}', address, ready, addresses[0])
+            scope = trio.CancelScope()
+            fleet.scopes.append(scope)
+            nursery.start_soon(run_until_killed, Node(settings, SystemClock()), scope)
+        await wait_until_ready(fleet)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+async def run_until_killed(node: Node, scope: trio.CancelScope) -> None:
+    """Run a node until its scope is cancelled."""
+    with scope:
+        await node.run_parts(trio.Event())
+
+
+async def wait_until_ready(fleet: JobFleet) -> None:
+    """Return once every node knows the rules."""
+    for node, _ in enumerate(fleet.node_addresses):
+        with trio.fail_after(WAIT_LIMIT_S):
+            while not await _answers(fleet, node):
+                await trio.sleep(0.05)
+
+
+async def _answers(fleet: JobFleet, node: int) -> bool:
+    try:
+        return (await fleet.call(node, 'GET', '')).status == 200
+    except OSError:
+        return False
+    except Exception as error:
+        if type(error).__module__.startswith('httpcore'):
+            return False
+        raise
+
+
+def describe_target(address: Address, state: str = 'ready') -> dict[str, object]:
+    """Return what a target registers."""
+    return {
+        'service': POOL,
+        'address': str(address),
+        'zone': 'dc',
+        'state': state,
+        'capacity': {'cpu': TARGET_CPU, 'mem_mb': 8000, 'gpu': 0},
+        'labels': ['a', 'r1-1'],
+        'sequence': 1,
+    }
+
+
+def make_settings(name: str, callers: Address, ready: Address, store: Address) -> NodeSettings:
+    """Return settings of a node on loopback."""
+    return NodeSettings(
+        name=name,
+        data_centre='dc',
+        caller_address=callers,
+        ready_address=ready,
+        store_address=store,
+        vm_service_address=None,
+        advice_address=None,
+        timings=JobTimings(),
+        store_limits=StoreLimits(),
+    )
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -46,6 +46,12 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(set_on_termination, termination)
             nursery.start_soon(note_reloads)
+            await self.run_parts(termination)
+            nursery.cancel_scope.cancel()
+
+    async def run_parts(self, termination: trio.Event) -> None:
+        """Run until `termination` is set, without a look at signals."""
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(self._rules.run)
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._hold_terms)
--- /dev/null
+++ b/comfreywind/stand_ins/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform for jobs: store, VM list and targets that run tasks."""
--- /dev/null
+++ b/comfreywind/stand_ins/jobs/target_app.py
@@ -0,0 +1,119 @@
+"""A target that runs tasks: each works for the time of its spec, then ends."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from comfreywind.http.asgi_body import read_json
+from comfreywind.http.asgi_reply import send_json
+from comfreywind.http.asgi_types import Receive, Scope, Send
+
+BODY_LIMIT_BYTES = 65_536
+MS_PER_S = 1000
+DEFAULT_WORK_S = 0.2
+
+
+@dataclass(slots=True)
+class StandInRun:
+    """A run under way and when it ends by itself."""
+
+    run_id: int
+    ends_s: float
+
+
+@dataclass(slots=True)
+class StartLog:
+    """All starts of a task, for checks of what ran."""
+
+    starts: list[tuple[str, int, float]] = field(default_factory=list)
+
+
+class JobTargetApp:
+    """Starts, stops and lists runs under leases and fences, as the users' targets do.
+
+    A spec of `work_s=N` sets how long a task works, `fail` lets it fail, `last` never end.
+    """
+
+    def __init__(self, log: StartLog) -> None:
+        """Start with nothing running; `log` may be shared by several targets."""
+        self.log = log
+        self.runs: dict[str, StandInRun] = {}
+        self.ended: list[list[object]] = []
+        self.fence = 0
+        self.lease_end_ms = float('-inf')
+        self.unanswered_starts = 0
+        self._specs: dict[str, str] = {}
+        self._born_ms = int(trio.current_time() * MS_PER_S)
+        self._acknowledged = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        order = await read_json(receive, BODY_LIMIT_BYTES)
+        self._end_runs()
+        if order['fencing_token'] < self.fence:
+            await self._reply(send, 409, {'reason': 'fence'})
+            return
+        self.fence = order['fencing_token']
+        path = scope['path']
+        if path == '/v1/run-start':
+            await self._start(order, send)
+        elif path == '/v1/run-stop':
+            self._end(order['task_id'], order['run_id'], 'stopped')
+            await self._reply(send, 200, {})
+        elif path == '/v1/hold':
+            await self._hold(order, send)
+        else:
+            await self._reply(send, 200, {})
+
+    async def _start(self, order: dict[str, Any], send: Send) -> None:
+        task, run_id = order['task_id'], order['run_id']
+        self.lease_end_ms = max(self.lease_end_ms, order['expires_ms'])
+        if task not in self.runs:
+            now_s = trio.current_time()
+            self.log.starts.append((task, run_id, now_s))
+            self._specs[task] = order['spec']
+            self.runs[task] = StandInRun(run_id, now_s + _read_work_s(order['spec']))
+        if self.unanswered_starts:
+            self.unanswered_starts -= 1
+            await trio.sleep_forever()
+        await self._reply(send, 200, {})
+
+    async def _hold(self, order: dict[str, Any], send: Send) -> None:
+        self.lease_end_ms = max(self.lease_end_ms, order.get('expires_ms', 0))
+        self._acknowledged = order['last_seen']
+        with trio.move_on_after(order.get('wait_ms', 0) / MS_PER_S):
+            while not self._list_ended():
+                await trio.sleep(0.01)
+                self._end_runs()
+        active = [[task, run.run_id, '', 100, 0] for task, run in self.runs.items()]
+        await self._reply(send, 200, {'active': active, 'finished': self._list_ended()})
+
+    def _list_ended(self) -> list[list[object]]:
+        return self.ended[self._acknowledged :]
+
+    def _end_runs(self) -> None:
+        now_s = trio.current_time()
+        for task, run in list(self.runs.items()):
+            if now_s * MS_PER_S > self.lease_end_ms:
+                self._end(task, run.run_id, 'lapsed')
+            elif now_s >= run.ends_s:
+                how = 'failed' if 'fail' in self._specs[task] else 'done'
+                self._end(task, run.run_id, how)
+
+    def _end(self, task: str, run_id: int, how: str) -> None:
+        run = self.runs.get(task)
+        if run is not None and run.run_id <= run_id:
+            del self.runs[task]
+            self.ended.append([len(self.ended) + 1, task, run.run_id, how, ''])
+
+    async def _reply(self, send: Send, status: int, document: dict[str, Any]) -> None:
+        clock = {'clock_ms': int(trio.current_time() * MS_PER_S), 'born': self._born_ms}
+        await send_json(send, status, {**document, **clock})
+
+
+def _read_work_s(spec: str) -> float:
+    if 'last' in spec:
+        return float('inf')
+    _, found, number = spec.partition('work_s=')
+    return float(number) if found else DEFAULT_WORK_S
