Read the progress again once the fence has reached every target

A holder without a valid term no longer acknowledges ends either. Before: test_end_acknowledged_during_takeover fails; after: it passes.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -54,6 +54,7 @@
     store: StoreApp
     targets: list[JobTargetApp]
     node_addresses: list[Address]
+    store_address: Address
     scopes: list[trio.CancelScope] = field(default_factory=list)
     log: StartLog = field(default_factory=StartLog)
 
@@ -68,6 +69,17 @@
         finally:
             await client.close()
 
+    @asynccontextmanager
+    async def run_node(self, name: str) -> AsyncIterator[None]:
+        """Run one more node until the block is left."""
+        ports = [Address(HOST, PORTS.find_free()) for _ in range(2)]
+        node = Node(make_settings(name, ports[0], ports[1], self.store_address), SystemClock())
+        scope = trio.CancelScope()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_until_killed, node, scope)
+            yield
+            scope.cancel()
+
     async def submit(self, node: int, job_id: str, spec: str = '', count: int = 2) -> int:
         """Hand in a job of one step and return the status of the answer."""
         step = {'count': count, 'cpu': 500, 'mem_mb': 100, 'estimate_ms': 200}
@@ -97,7 +109,7 @@
     ready_addresses = addresses[2 + target_count :: 2]
     async with trio.open_nursery() as nursery:
         targets = [JobTargetApp(log) for _ in target_addresses]
-        fleet = JobFleet(store, targets, node_addresses, log=log)
+        fleet = JobFleet(store, targets, node_addresses, addresses[0], log=log)
         store.write_document('op', 'config', make_config())
         nursery.start_soon(partial(serve_app, store, addresses[0], shutdown))
         for number, (target, address) in enumerate(zip(targets, target_addresses, strict=True)):
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -88,6 +88,14 @@
             record.progress.state = JobState.CANCELLED
             self._close_job(record)
 
+    def join_progress(self, record: JobRecord, stored: Progress) -> None:
+        """Take in what another holder, or a caller's cancelling, wrote of a job's progress."""
+        record.join(stored)
+        if record.open and stored.state.final:
+            log.info('job %s: %s by another node', record.job.job_id, stored.state)
+            record.progress.state = stored.state
+            self._close_job(record)
+
     def set_target(self, entry: TargetEntry, now_s: float) -> TargetRecord:
         """Take in a target's registration; a new life under the same id has no runs."""
         record = self.targets.get(entry.target_id)
@@ -108,6 +116,7 @@
         record.born_ms = born_ms
         record.applied_number = 0
         record.stored_number = 0
+        record.acknowledged_number = 0
         record.failure_streak = 0
         self.drop_runs(record, now_s)
 
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -287,7 +287,7 @@
             await self._wake.wait()
             await trio.sleep(GATHER_S)
             self._wake = trio.Event()
-            self._settle_old_jobs()
+            await self._settle_old_jobs()
             if self._keeper.is_valid() and await self._store_roster():
                 self._plan()
 
@@ -306,14 +306,23 @@
             if link is not None and self._nursery is not None:
                 self._nursery.start_soon(link.send, order)
 
-    def _settle_old_jobs(self) -> None:
-        """Allow starts of older jobs once no run of an earlier holder can be unseen."""
+    async def _settle_old_jobs(self) -> None:
+        """Allow starts of older jobs once no run of an earlier holder can be unseen.
+
+        Until this holder's fence had reached a target, the earlier one could still store ends and
+        acknowledge them there. So the progress is read once more after that.
+        """
         if self._settled:
             return
         waited_s = self._clock.read_monotonic_s() - self._term.taken_s
         unseen = [target_id for target_id in self._old_roster if self._is_unseen(target_id)]
         if unseen and waited_s < UNSEEN_LAPSE_S:
             return
+        try:
+            await self._join_progress()
+        except StoreUnavailableError as error:
+            log.info('term %d: progress is not read again yet: %s', self._term.epoch, error)
+            return
         self._settled = True
         self.board.settle(self.board.jobs.values())
         log.info(
@@ -323,6 +332,16 @@
             len(unseen),
         )
 
+    async def _join_progress(self) -> None:
+        for part in JOB_PARTS:
+            page = await self._rows.read_part(TABLE_PROGRESS, part)
+            for row in page.rows:
+                record = self.board.jobs.get(row.key)
+                newer = record is not None and row.version > record.progress_version
+                if record is not None and row.payload is not None and newer:
+                    record.progress_version = row.version
+                    self.board.join_progress(record, decode_progress(row.payload))
+
     def _is_unseen(self, target_id: str) -> bool:
         record = self.board.targets.get(target_id)
         if record is not None and record.reported:
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -66,6 +66,9 @@
         for occurrence, step, number in stored.done - self.progress.done:
             self.progress.done.add((occurrence, step, number))
             self.left_in_step[occurrence, step] -= 1
+            key = TaskKey(self.job.job_id, occurrence, step, number)
+            if key in self.waiting:
+                self.waiting.remove(key)
         for task, count in stored.failures.items():
             self.progress.failures[task] = max(count, self.progress.failures.get(task, 0))
 
--- a/comfreywind/scheduling/progress_journal.py
+++ b/comfreywind/scheduling/progress_journal.py
@@ -101,9 +101,8 @@
                 continue
             record.progress_version = row.version
             stored = decode_progress(row.payload)
-            record.join(stored)
+            self._board.join_progress(record, stored)
             if stored.state is JobState.CANCELLED:
-                self._board.cancel_job(row.key)
                 record.progress.state = JobState.CANCELLED
 
     def _mark_again(self, records: list[JobRecord]) -> None:
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -131,9 +131,12 @@
         extends = self._keeper.is_valid() and not self._record.silent
         expires_ms = self._find_expiry_ms() if extends else None
         wait_ms = self._find_wait_ms()
+        # Without a term nothing more is acknowledged: a successor may not know of it.
+        if self._keeper.is_valid():
+            self._record.acknowledged_number = self._record.stored_number
         try:
             report = await self._client.hold(
-                self._board.epoch, self._record.stored_number, expires_ms, wait_ms
+                self._board.epoch, self._record.acknowledged_number, expires_ms, wait_ms
             )
         except TargetSilentError as error:
             return self._note_silence(error)
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -13,7 +13,7 @@
     """What runs on a target and how well it answers; times on the holder's steady clock.
 
     `applied_number` is the highest end that the holder has seen, `stored_number` the highest whose
-    consequences the store holds. `lease_end_s` is when everything there has certainly lapsed.
+    consequences the store holds, and `acknowledged_number` the highest that the target was told. `lease_end_s` is when everything there has certainly lapsed.
     """
 
     entry: TargetEntry
@@ -22,6 +22,7 @@
     born_ms: int = 0
     applied_number: int = 0
     stored_number: int = 0
+    acknowledged_number: int = 0
     reported: bool = False
     silent: bool = False
     lease_end_s: float = 0
--- a/comfreywind/stand_ins/jobs/target_app.py
+++ b/comfreywind/stand_ins/jobs/target_app.py
@@ -1,5 +1,6 @@
 """A target that runs tasks: each works for the time of its spec, then ends."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -43,6 +44,7 @@
         self.fence = 0
         self.lease_end_ms = float('-inf')
         self.unanswered_starts = 0
+        self.note_fence: Callable[[int], None] = _ignore_fence
         self._specs: dict[str, str] = {}
         self._born_ms = int(trio.current_time() * MS_PER_S)
         self._acknowledged = 0
@@ -54,7 +56,9 @@
         if order['fencing_token'] < self.fence:
             await self._reply(send, 409, {'reason': 'fence'})
             return
-        self.fence = order['fencing_token']
+        if order['fencing_token'] > self.fence:
+            self.fence = order['fencing_token']
+            self.note_fence(self.fence)
         path = scope['path']
         if path == '/v1/run-start':
             await self._start(order, send)
@@ -112,6 +116,10 @@
         await send_json(send, status, {**document, **clock})
 
 
+def _ignore_fence(fence: int) -> None:
+    """Do nothing; tests put an action in its place."""
+
+
 def _read_work_s(spec: str) -> float:
     if 'last' in spec:
         return float('inf')
--- /dev/null
+++ b/tests/scheduling/test_holder.py
@@ -0,0 +1,63 @@
+"""A holder that takes over from another one, over the stand-ins."""
+
+import base64
+from typing import Any
+
+import trio
+
+from bench.job_fleet import QUEUE_HOST, run_job_fleet
+from comfreywind.jobs.job_codec import encode_job, encode_progress
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.queue import Queue
+from comfreywind.jobs.tables import (
+    ROSTER_KEY,
+    TABLE_INTAKE,
+    TABLE_PROGRESS,
+    TABLE_TERM,
+    find_part,
+)
+from comfreywind.scheduling.term_row import TermRow, encode_roster, encode_term
+from comfreywind.stand_ins.jobs.row_store import RowStore
+from comfreywind.stand_ins.jobs.target_app import JobTargetApp
+from tests.helpers.board_rig import JOB_ID, make_job
+
+
+def write_row(store: RowStore, table: str, part: str, key: str, payload: bytes) -> None:
+    """Write a row as another node does."""
+    store.apply([], [(table, part, key, base64.b64encode(payload).decode())])
+
+
+async def test_end_acknowledged_during_takeover() -> None:
+    """Guards against a task that runs again after its end was stored and acknowledged.
+
+    Seen on prevoz-plan hunt-f022-11: the earlier holder stored and acknowledged an end after its
+    successor had read the progress and before the successor's fence had reached the target.
+    """
+    async with run_job_fleet(node_count=1, target_count=1) as fleet:
+        fleet.scopes[0].cancel()
+        store, target = fleet.store.store, fleet.targets[0]
+        queue = Queue('rebuild', QUEUE_HOST, '/rebuild/', 'crossings', attempt_limit=3)
+        part = find_part(JOB_ID)
+        write_row(store, TABLE_INTAKE, part, JOB_ID, encode_job(make_job(queue=queue)))
+        write_row(store, TABLE_PROGRESS, part, JOB_ID, encode_progress(Progress()))
+        write_row(store, TABLE_TERM, '', ROSTER_KEY, encode_roster(frozenset(('i-0',))))
+        released = TermRow('node-9', 7, released=True)
+        write_row(store, TABLE_TERM, '', 'holder', encode_term(released))
+
+        def store_end() -> None:
+            done = Progress(JobState.COMPLETE, {(0, 0, 0)})
+            write_row(store, TABLE_PROGRESS, part, JOB_ID, encode_progress(done))
+
+        async with fleet.run_node('node-1'):
+            await wait_for_fence(target, 8, store_end)
+            await trio.sleep(1)
+        assert not fleet.log.starts
+
+
+async def wait_for_fence(target: JobTargetApp, fence: int, act: Any) -> None:
+    """Act at the moment when a holder's fence reaches the target."""
+    target.note_fence = lambda raised: act() if raised == fence else None
+    with trio.fail_after(5):
+        while target.fence < fence:
+            await trio.sleep(0.01)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -5,8 +5,8 @@
 import httpcore
 import pytest
 
-from bench.fleet import Fleet, wait_until
 from bench.caller_load import CallerLoad
+from bench.fleet import Fleet, wait_until
 from bench.wave_watch import WaveWatch
 from tests.helpers.maintenance import POOL, make_plan, was_maintained
 
