--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -173,9 +173,13 @@
         avoided = record.failed_on.get(key, NO_TARGETS)
         spread = step.target_limit or step.unavailable_limit
         same_step = self._count_same_step(record, key) if spread else {}
-        room = choose_target(
-            step, (self._describe_room(target, avoided, same_step) for target in targets)
+        # Each start may change whether a target takes another: one that failed gets one task.
+        rooms = (
+            self._describe_room(target, avoided, same_step)
+            for target in targets
+            if target.may_start(now_s)
         )
+        room = choose_target(step, rooms)
         if room is None:
             return None
         self._add_run(record, key, run_id, room.target_id, now_s)
@@ -224,6 +228,7 @@
             now_s,
             tail_limit_ms=step.tail_limit_ms,
             filler=step.filler,
+            lasting=step.lasting,
         )
         self._board.add_run(run, record)
 
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -21,7 +21,8 @@
     """A run on a target.
 
     `settled_s` is when the last order about the run was answered: a report that was asked for later
-    shows the run if it is there. `ending` marks a run that an order of ours is about to end.
+    shows the run if it is there. `ending` marks a run that an order of ours is about to end. `progressed_s` is when `percent`, the part of the
+    task that is done, last rose.
     """
 
     key: TaskKey
@@ -39,6 +40,8 @@
     ending: bool = False
     level: float = 0
     pace_percent: int = 100
-    idle_since_s: float | None = None
+    percent: int = 0
+    progressed_s: float = 0
     tail_limit_ms: int = 0
     filler: bool = False
+    lasting: bool = False
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -40,7 +40,10 @@
         """Return whether new work may be given to the target."""
         unavailable = self.entry.draining or self.leaving or self.emptying
         unheard = self.silent or not self.reported
-        return not (unavailable or unheard) and now_s >= self.barred_until_s
+        # After a row of failures one task shows whether the target works again.
+        short_runs = not all(run.lasting for run in self.runs.values())
+        probing = self.failure_streak > 1 and short_runs
+        return not (unavailable or unheard or probing) and now_s >= self.barred_until_s
 
     def add_run(self, run: RunRecord) -> None:
         """Count a run against the room."""
--- a/tests/helpers/board_rig.py
+++ b/tests/helpers/board_rig.py
@@ -79,6 +79,7 @@
         ended: tuple[tuple[TaskKey, int, RunOutcome], ...] = (),
         born_ms: int = 1,
         levels: dict[TaskKey, float] | None = None,
+        percents: dict[TaskKey, int] | None = None,
     ) -> list[Order]:
         """Let a target report runs; the report was asked for now."""
         self.now_s += 0.1
@@ -86,9 +87,10 @@
         for key, run_id, outcome in ended:
             self.ends[target] = self.ends.get(target, 0) + 1
             rows.append(EndedRun(self.ends[target], key, run_id, outcome, ''))
-        level_of = levels or {}
+        level_of, percent_of = levels or {}, percents or {}
         runs = tuple(
-            ActiveRun(key, run_id, '', 100, level_of.get(key, 0)) for key, run_id in active
+            ActiveRun(key, run_id, '', percent_of.get(key, 100), level_of.get(key, 0))
+            for key, run_id in active
         )
         report = TargetReport(0, born_ms, runs, tuple(rows))
         record = self.board.targets[target]
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -330,3 +330,56 @@
     rig.add_job(make_job(Step(5, Resources(100, 10), target_limit=2)))
     starts = rig.start()
     assert sorted(order.target_id for order in starts) == ['t0', 't0', 't1', 't1']
+
+
+def test_stalled_task_moves() -> None:
+    """Guards against tasks that stand still on a target until their job is late.
+
+    Targets with this fault (`srv_grey`, variant `hang`) stay healthy by their own word.
+    """
+    rig = BoardRig()
+    rig.add_job()
+    (order,) = rig.start()
+    active = ((order.key, order.run_id),)
+    assert not list_stops(rig.report(order.target_id, active=active, percents={order.key: 30}))
+    rig.now_s += 1
+    orders = rig.report(order.target_id, active=active, percents={order.key: 30})
+    assert list_stops(orders) == [(order.key, order.run_id)]
+    rig.end(order, RunOutcome.STOPPED)
+    (again,) = rig.start()
+    assert again.target_id != order.target_id
+
+
+def test_slow_target_is_left() -> None:
+    """Guards against tasks that stay on a target which works many times slower than others."""
+    rig = BoardRig(targets=1)
+    rig.add_job(make_job(Step(3, Resources(1000, 100), estimate_ms=1000)))
+    orders = rig.start()
+    rig.now_s += 1
+    rig.add_target('t1')
+    active = tuple((order.key, order.run_id) for order in orders)
+    percents = {order.key: 15 for order in orders}
+    assert len(list_stops(rig.report('t0', active=active, percents=percents))) == 3
+
+
+def test_long_task_stays() -> None:
+    """Guards against restarts of a task that is long itself while its target works as usual."""
+    rig = BoardRig(targets=1)
+    rig.add_job(make_job(Step(3, Resources(1000, 100), estimate_ms=1000)))
+    orders = rig.start()
+    rig.now_s += 1
+    active = tuple((order.key, order.run_id) for order in orders)
+    percents = {orders[0].key: 10, orders[1].key: 80, orders[2].key: 90}
+    assert not list_stops(rig.report('t0', active=active, percents=percents))
+
+
+def test_barred_target_is_probed() -> None:
+    """Guards against many attempts lost at once when a failing target is tried again."""
+    rig = BoardRig(targets=1)
+    rig.add_job(make_job(Step(6, Resources(100, 10))))
+    for order in rig.start()[:2]:
+        rig.end(order, RunOutcome.FAILED)
+    for key, run in list(rig.board.targets['t0'].runs.items()):
+        rig.report('t0', ended=((key, run.run_id, RunOutcome.STOPPED),))
+    rig.now_s += 10
+    assert len(rig.start()) == 1
