--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -10,15 +10,7 @@
 
 from comfreywind.decisions.scheduling.placement import find_request
 from comfreywind.decisions.scheduling.pace import choose_pace
-from comfreywind.decisions.scheduling.straggler import (
-    SLOW_FACTOR,
-    RunSpeed,
-    find_slowdown,
-    is_stalled,
-    is_worth_restart,
-)
 from comfreywind.decisions.scheduling.upkeep import StepHealth
-from comfreywind.decisions.scheduling.work_order import estimate_task_ms
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
@@ -39,7 +31,7 @@
 # A target that fails several tasks in a row without a success fails whatever it is given.
 FAILURE_STREAK_LIMIT = 2
 BAR_AFTER_FAILURES_S = 4.0
-BAR_WHEN_SLOW_S = 2.0
+BAR_WHEN_STALLED_S = 2.0
 RESTART_LIMIT = 2
 # How long a target gets no new work after it refused some.
 BAR_BY_ANSWER_S = {
@@ -157,7 +149,7 @@
             _note_level(record.runs.get(active.key), active, now_s)
         orders.extend(self._find_missing(record, listed, asked_s, now_s))
         orders.extend(self._pace_fillers(record))
-        orders.extend(self._restart_stragglers(record, now_s))
+        orders.extend(self._restart_stalled(record, now_s))
         return orders
 
     def note_start(self, order: StartOrder, answer: StartAnswer, now_s: float) -> list[Order]:
@@ -478,36 +470,20 @@
                 orders.append(PaceOrder(run.target_id, run.key, run.run_id, percent))
         return orders
 
-    def _restart_stragglers(self, target: TargetRecord, now_s: float) -> list[Order]:
-        """Bar a target on which work is slow or stands still, and return stops of what it holds up.
+    def _restart_stalled(self, target: TargetRecord, now_s: float) -> list[Order]:
+        """Bar a target on which short tasks stand still, and return their stops.
 
-        Each task is moved at most `RESTART_LIMIT` times: one that is slow everywhere is long itself.
+        Each task is moved at most `RESTART_LIMIT` times.
         """
-        speeds = {
-            run.key: self._measure_speed(run, now_s)
-            for run in target.runs.values()
-            if run.state is RunState.RUNNING and not run.lasting and not run.filler
-        }
-        slowdown = find_slowdown(speeds.values()) or 1
-        slow = len(speeds) > 1 and slowdown >= SLOW_FACTOR
         stopped: list[Order] = []
-        for key, speed in speeds.items():
-            late = is_stalled(speed) or (slow and is_worth_restart(speed, slowdown))
-            if late and self._may_restart(key):
-                log.info('task %s: too slow on %s', key, target.entry.target_id)
-                stopped.extend(self.stop_run(target.runs[key], now_s))
-        if stopped or slow:
-            bar_s = now_s + BAR_WHEN_SLOW_S
-            target.barred_until_s = max(target.barred_until_s, bar_s)
+        for run in list(target.runs.values()):
+            if run.is_stalled(now_s) and self._may_restart(run.key):
+                log.info('task %s: stands still on %s', run.key, target.entry.target_id)
+                stopped.extend(self.stop_run(run, now_s))
+        if stopped:
+            target.barred_until_s = max(target.barred_until_s, now_s + BAR_WHEN_STALLED_S)
         return stopped
 
-    def _measure_speed(self, run: RunRecord, now_s: float) -> RunSpeed:
-        job = self.jobs[run.key.job_id].job
-        step = job.steps[run.key.step]
-        stalled_s = now_s - run.progressed_s if run.progressed_s else 0
-        estimate_s = estimate_task_ms(step) / MS_PER_S
-        return RunSpeed(run.percent, now_s - run.started_s, stalled_s, estimate_s)
-
     def _may_restart(self, key: TaskKey) -> bool:
         """Return whether the task may be moved once more, and count it."""
         record = self.jobs[key.job_id]
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -7,6 +7,10 @@
 from comfreywind.jobs.task_key import TaskKey
 
 
+# Progress shows in each report; without any for this time a task stands still.
+STALL_S = 1.0
+
+
 class RunState(enum.StrEnum):
     """State of a run; it takes room in all of them."""
 
@@ -45,3 +49,9 @@
     tail_limit_ms: int = 0
     filler: bool = False
     lasting: bool = False
+
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether a short task that has worked stands still."""
+        short = not self.lasting and not self.filler
+        working = self.state is RunState.RUNNING and self.progressed_s > 0
+        return short and working and now_s - self.progressed_s >= STALL_S
