--- a/comfreywind/entry/operator_app.py
+++ b/comfreywind/entry/operator_app.py
@@ -20,10 +20,10 @@
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.http.routes import HttpCall, find_route, make_route
-from comfreywind.report.burn_codec import encode_burn_report
-from comfreywind.report.burn_reporter import BurnReporter
 from comfreywind.platform.table_names import TABLE_BUDGETS, TABLE_CONTROL, TABLE_VMS
 from comfreywind.platform.vm_entry import VmEntry
+from comfreywind.report.burn_codec import encode_burn_report
+from comfreywind.report.burn_reporter import BurnReporter
 from comfreywind.report.explainer import Explainer
 
 EXPLAINED_KINDS = ('vm', 'request', 'team', 'pool')
--- a/comfreywind/entry/portions/fence_keeper.py
+++ b/comfreywind/entry/portions/fence_keeper.py
@@ -3,7 +3,6 @@
 import logging
 from dataclasses import replace
 
-
 from comfreywind.clock import Clock
 from comfreywind.decisions.portions.fence_case import (
     FenceCase,
--- a/comfreywind/entry/target_caller.py
+++ b/comfreywind/entry/target_caller.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import httpcore
+
 from comfreywind.clock import Clock
 from comfreywind.decisions.attempt import Attempt, AttemptEnd, counts_as_failure
 from comfreywind.decisions.refusal import Refusal, RefusalReason
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -8,8 +8,8 @@
 import logging
 from collections.abc import Iterable
 
-from comfreywind.decisions.scheduling.placement import find_request
 from comfreywind.decisions.scheduling.pace import choose_pace
+from comfreywind.decisions.scheduling.placement import find_request
 from comfreywind.decisions.scheduling.upkeep import StepHealth
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
@@ -64,6 +64,7 @@
         self.team_use: dict[str, Resources] = {}
         self.changed_jobs: dict[str, JobRecord] = {}
         self.orphan_cancels: set[str] = set()
+        self._closing: dict[str, JobRecord] = {}
 
     # What the store tells
 
@@ -192,11 +193,9 @@
     def stop_closed_jobs(self, now_s: float) -> list[Order]:
         """Return the stops of runs whose jobs are closed."""
         orders: list[Order] = []
-        for record in self.targets.values():
-            for run in list(record.runs.values()):
-                job = self.jobs.get(run.key.job_id)
-                if job is None or not job.open:
-                    orders.extend(self.stop_run(run, now_s))
+        for record in self._closing.values():
+            orders.extend(self.stop_job_runs(record, now_s))
+        self._closing.clear()
         return orders
 
     def stop_broken_gangs(self, now_s: float) -> list[Order]:
@@ -516,6 +515,7 @@
 
     def _close_job(self, record: JobRecord) -> None:
         record.waiting.clear()
+        self._closing[record.job.job_id] = record
         self.open_jobs.pop(record.job.job_id, None)
 
 
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -43,6 +43,8 @@
 
 # Changes that come within this time are planned together.
 GATHER_S = 0.004
+# Planning takes at most a third of the processor, the rest is for orders and reports.
+PLAN_PAUSE_RATIO = 2
 TICK_S = 0.1
 RETRY_S = 0.2
 # A target that is gone may stay in the roster so long; that only delays a later holder.
@@ -283,13 +285,16 @@
             self._wake.set()
 
     async def _plan_forever(self) -> None:
+        pause_s = GATHER_S
         while True:
             await self._wake.wait()
-            await trio.sleep(GATHER_S)
+            await trio.sleep(pause_s)
             self._wake = trio.Event()
+            started_s = trio.current_time()
             await self._settle_old_jobs()
             if self._keeper.is_valid() and await self._store_roster():
                 self._plan()
+            pause_s = max(GATHER_S, PLAN_PAUSE_RATIO * (trio.current_time() - started_s))
 
     def _plan(self) -> None:
         now_s = self._clock.read_monotonic_s()
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -30,6 +30,7 @@
     unlocked: set[tuple[int, int]] = field(default_factory=set)
     left_in_step: dict[tuple[int, int], int] = field(default_factory=dict)
     changed: bool = False
+    unlock_due: bool = True
     objective_ms: float = 0
     remaining_ms: float = 0
 
@@ -58,6 +59,7 @@
         self.left_in_step[key.occurrence, key.step] -= 1
         self.changed = True
         if not self.left_in_step[key.occurrence, key.step]:
+            self.unlock_due = True
             self.update_remaining()
         return True
 
@@ -66,6 +68,7 @@
         for occurrence, step, number in stored.done - self.progress.done:
             self.progress.done.add((occurrence, step, number))
             self.left_in_step[occurrence, step] -= 1
+            self.unlock_due = True
             key = TaskKey(self.job.job_id, occurrence, step, number)
             if key in self.waiting:
                 self.waiting.remove(key)
@@ -91,7 +94,11 @@
 
     def find_unlocked(self, now_ms: float) -> list[tuple[int, int]]:
         """Return the steps whose turn has come and whose tasks are not yet in `waiting`."""
-        unlocked = []
+        unlocked: list[tuple[int, int]] = []
+        if not self.unlock_due:
+            return unlocked
+        # An occurrence becomes due with time, not with an event.
+        self.unlock_due = bool(self.job.occurrence_count)
         for step_key in self.left_in_step:
             if step_key in self.unlocked or not self.left_in_step[step_key]:
                 continue
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -11,6 +11,7 @@
 from comfreywind.decisions.scheduling.work_order import JobStanding, find_turn
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
+from comfreywind.jobs.step import Step
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.advice import Advice, AdviceQuestion
 from comfreywind.scheduling.board import Board
@@ -37,6 +38,7 @@
         self._board = board
         self._advice: dict[tuple[str, int, int], Advice] = {}
         self._questions: list[AdviceQuestion] = []
+        self._refused: list[Resources] = []
 
     def plan(self, now_s: float, now_ms: float) -> list[Order]:
         """Return the starts that can be ordered now."""
@@ -83,6 +85,7 @@
             return []
         orders: list[Order] = []
         records.sort(key=lambda record: find_turn(self._describe(record), now_ms))
+        self._refused.clear()
         for record in records:
             orders.extend(self._start_waiting(record, targets, now_s))
         return orders
@@ -168,19 +171,20 @@
         now_s: float,
     ) -> StartOrder | None:
         step = record.job.steps[key.step]
-        if not self._is_below_ceiling(record.job.team, step.request):
+        if self._is_refused(step) or not self._is_below_ceiling(record.job.team, step.request):
             return None
         avoided = record.failed_on.get(key, NO_TARGETS)
         spread = step.target_limit or step.unavailable_limit
         same_step = self._count_same_step(record, key) if spread else {}
         # Each start may change whether a target takes another: one that failed gets one task.
         rooms = (
-            self._describe_room(target, avoided, same_step)
+            self._describe_room(target, avoided, same_step, shy=step.filler)
             for target in targets
             if target.may_start(now_s)
         )
         room = choose_target(step, rooms)
         if room is None:
+            self._note_refused(step, bool(record.job.queue.advice_validity_ms))
             return None
         self._add_run(record, key, run_id, room.target_id, now_s)
         advice = self._advice.get((key.job_id, key.occurrence, key.step))
@@ -193,9 +197,25 @@
             '' if advice is None else advice.tickets.get(room.target_id, ''),
         )
 
+    def _is_refused(self, step: Step) -> bool:
+        """Return whether this plan has found no room for a request that is not larger."""
+        request = find_request(step)
+        return any(refused.fits(request) for refused in self._refused)
+
+    def _note_refused(self, step: Step, queue_is_advised: bool) -> None:
+        """Remember a request without room, unless it was refused for another reason."""
+        narrowed = step.required_label or step.target_limit or step.same_rack
+        if not narrowed and not queue_is_advised:
+            self._refused.append(find_request(step))
+
     def _describe_room(
-        self, target: TargetRecord, avoided: Iterable[str], same_step: dict[str, int]
+        self,
+        target: TargetRecord,
+        avoided: Iterable[str],
+        same_step: dict[str, int],
+        shy: bool = False,
     ) -> TargetRoom:
+        """Describe a target; whether it serves users matters only to shy tasks, the fillers."""
         target_id = target.entry.target_id
         return TargetRoom(
             target_id,
@@ -203,7 +223,7 @@
             target.entry.labels,
             same_step.get(target_id, 0),
             target_id in avoided,
-            any(run.tail_limit_ms for run in target.runs.values()),
+            serving=shy and any(run.tail_limit_ms for run in target.runs.values()),
         )
 
     def _find_run_id(self, record: JobRecord, keys: list[TaskKey]) -> int:
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -6,7 +6,6 @@
 from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.task_key import TaskKey
 
-
 # Progress shows in each report; without any for this time a task stands still.
 STALL_S = 1.0
 
