Check a lowered ceiling over the whole window, not in one sample

Cause: test_lowered_ceiling failed in 1 of 6 parallel runs (3 == 4 at one sample). Ruled out: a lost unit (none of the dips lasted). Change: instead of one sample at the end, every moment of the six seconds is checked, and a unit may be away no longer than a heartbeat (0.25 s, the period in which entries tell their demand). This would find a unit lost for a while at any time, which the one sample did not.

--- a/tests/processes/test_portions.py
+++ b/tests/processes/test_portions.py
@@ -13,6 +13,8 @@
 CEILING = 12
 MAX_RUN_S = 2
 SESSION_TTL_S = 2
+# Period in which entries tell each other their demand, the default of heartbeat_interval_s.
+HEARTBEAT_S = 0.25
 RUN_MARGIN_S = 1
 # The time to live with drift, a feed poll, the ranks of the entries and two periods of the fence task.
 FENCE_LIMIT_S = SESSION_TTL_S * 1.01 + 2
@@ -174,7 +176,12 @@
 
 
 def test_lowered_ceiling(portion_fleet: Fleet) -> None:
-    """Guards against starts while more than the new ceiling runs, and against cutting off work."""
+    """Guards against starts while more than the new ceiling runs, and against cutting off work.
+
+    Between the end of one request and the start of the next a unit is free for some milliseconds,
+    so a single sample may show one less than the ceiling (traced: dips of 10 ms). A unit that stays
+    away for longer than a heartbeat, by which entries tell their demand, is lost.
+    """
     lowered = CEILING // 3
     with SteadyLoad(portion_fleet, TEAM, 'rebuild', 1.5) as load:
         for entry in range(3):
@@ -185,14 +192,19 @@
         started = len(portion_fleet.read_run_log()['runs'])
         deadline_s = time.monotonic() + 6
         below_s = 0.0
+        full_s = float('inf')
         while time.monotonic() < deadline_s:
             log = portion_fleet.read_run_log()
             running = log['running'][TEAM]
             assert len(log['runs']) == started or running <= lowered
             started = len(log['runs'])
             below_s = below_s or (time.monotonic() if running <= lowered else 0)
+            if running >= lowered:
+                full_s = time.monotonic()
+            assert time.monotonic() - full_s <= HEARTBEAT_S
         assert below_s
-        assert running == lowered
+        assert running <= lowered
+        assert time.monotonic() - full_s <= HEARTBEAT_S
         portion_fleet.roll_out(3, make_bundle(CEILING))
         wait_for_full_use(portion_fleet, 2 * FOLLOW_LIMIT_S)
     read_running(portion_fleet)
