--- a/comfreywind/logs.py
+++ b/comfreywind/logs.py
@@ -38,10 +38,12 @@
         return super().format(record)
 
 
-def configure_logs(log_format: LogFormat, level: str = 'INFO') -> None:
-    """Send the logs of the project to standard error in the chosen format."""
+def configure_logs(
+    log_format: LogFormat, level: str = 'INFO', output: logging.Handler | None = None
+) -> None:
+    """Send the logs of the project to `output`, else to standard error, in the chosen format."""
     formatter = JsonFormatter() if log_format == 'json' else HumanFormatter()
-    stream_handler = logging.StreamHandler(sys.stderr)
+    stream_handler = output or logging.StreamHandler(sys.stderr)
     stream_handler.setFormatter(formatter)
     root_logger = logging.getLogger()
     root_logger.handlers.clear()
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -9,6 +9,7 @@
 from comfreywind.http.server import serve_app
 from comfreywind.intake.job_app import JobApp
 from comfreywind.intake.job_store import JobStore
+from comfreywind.log_handler import BoundedHandler
 from comfreywind.logs import configure_logs
 from comfreywind.node.ready_app import ReadyApp
 from comfreywind.platform.rows_client import RowsClient
@@ -23,6 +24,7 @@
 # The balancer asks once a second and takes a node out after two misses.
 READINESS_NOTICE_S = 2.4
 GRACEFUL_S = 2.0
+STANDARD_ERROR = 2
 
 log = logging.getLogger('comfreywind.node')
 
@@ -107,6 +109,6 @@
 
 async def run_node(settings: NodeSettings) -> None:
     """Run a node with the clocks of the system."""
-    configure_logs('human')
+    configure_logs('human', output=BoundedHandler(STANDARD_ERROR))
     log.info('node %s starts in %s', settings.name, settings.data_centre)
     await Node(settings, SystemClock()).run()
