Forget the refusals of a gang that did not fit

Cause: found by reading: the members of a gang that were placed and taken back left their size in the list of refused requests, so jobs of that size did not start while the gang waited. Before: test_gang_without_room_holds_up_nobody fails; after: it passes.

--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -146,11 +146,14 @@
         rack = choose_rack(step, rooms) if step.same_rack else None
         within = [target for target in targets if rack is None or rack in target.entry.labels]
         run_id = self._find_run_id(record, keys)
+        refused_before = len(self._refused)
         orders: list[StartOrder] = []
         for key in keys:
             order = self._start_task(record, key, run_id, within, now_s)
             if order is None:
                 self._take_back(record, orders)
+                # The room that the members took is free again for others.
+                del self._refused[refused_before:]
                 return []
             orders.append(order)
         return list(orders)
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -371,3 +371,11 @@
         rig.report('t0', ended=((key, run.run_id, RunOutcome.STOPPED),))
     rig.now_s += 10
     assert len(rig.start()) == 1
+
+
+def test_gang_without_room_holds_up_nobody() -> None:
+    """Guards against jobs that never start because a gang of their size does not fit."""
+    rig = BoardRig(targets=1, cpu=2000)
+    rig.add_job(make_job(GANG))
+    rig.add_job(make_job(Step(2, Resources(1000, 100)), job_id='00000000000000b1'))
+    assert {order.key.job_id for order in rig.start()} == {'00000000000000b1'}
