--- /dev/null
+++ b/tests/scheduling/test_decisions.py
@@ -0,0 +1,217 @@
+"""Decisions of scheduling as tables: terms, order of work, upkeep, sizes of pools, pace."""
+
+import pytest
+
+from comfreywind.decisions.scheduling.pace import choose_pace
+from comfreywind.decisions.scheduling.pool_size import (
+    SHRINK_AFTER_S,
+    PoolLoad,
+    VmMove,
+    choose_moves,
+)
+from comfreywind.decisions.scheduling.term import (
+    TAKEOVER_MARGIN_S,
+    USUAL_TERM_S,
+    LeaseSighting,
+    TermStep,
+    choose_term_s,
+    decide_term_step,
+    is_term_valid,
+)
+from comfreywind.decisions.scheduling.upkeep import (
+    StepHealth,
+    WaveVm,
+    choose_emptying,
+    is_blocked,
+    may_go_down,
+)
+from comfreywind.decisions.scheduling.work_order import (
+    JobStanding,
+    find_chain_ms,
+    find_turn,
+)
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.step import Step
+
+OVER_S = USUAL_TERM_S + TAKEOVER_MARGIN_S
+
+
+def sight(
+    exists: bool = True, released: bool = False, unchanged_s: float = 0, age_s: float | None = None
+) -> LeaseSighting:
+    """Return a sighting of a row with a usual term."""
+    return LeaseSighting(exists, released, USUAL_TERM_S, unchanged_s, age_s)
+
+
+@pytest.mark.parametrize(
+    ('sighting', 'leading', 'step'),
+    [
+        (sight(), True, TermStep.RENEW),
+        (sight(exists=False), False, TermStep.TAKE),
+        (sight(released=True), False, TermStep.TAKE),
+        (sight(unchanged_s=OVER_S - 0.1), False, TermStep.WAIT),
+        (sight(unchanged_s=OVER_S), False, TermStep.TAKE),
+        (sight(age_s=OVER_S), False, TermStep.TAKE),
+        (sight(age_s=OVER_S - 0.1), False, TermStep.WAIT),
+        (sight(age_s=-5), False, TermStep.WAIT),
+    ],
+)
+def test_term_steps(sighting: LeaseSighting, leading: bool, step: TermStep) -> None:
+    """Guards against two holders, and against a term that nobody takes over."""
+    assert decide_term_step(sighting, leading) is step
+
+
+@pytest.mark.parametrize('took_s', [0, 0.1, 0.3, 1])
+def test_holder_stops_before_takeover(took_s: float) -> None:
+    """Guards against a holder that gives orders when another may have taken over."""
+    term_s = choose_term_s(took_s)
+    assert is_term_valid(0, term_s, term_s - 0.01)
+    assert not is_term_valid(0, term_s, term_s)
+    assert not is_term_valid(None, term_s, 0)
+
+
+def stand(**fields: float) -> JobStanding:
+    """Return a job accepted at 0 with an objective of 2 s and 1 s of work left."""
+    usual: dict[str, float] = {
+        'lasting': False,
+        'excess': False,
+        'priority': 0,
+        'accepted_ms': 0,
+        'objective_ms': 2000,
+        'remaining_ms': 1000,
+    }
+    return JobStanding(**{**usual, **fields})  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'now_ms'),
+    [
+        (stand(lasting=True), stand(), 0),
+        (stand(), stand(excess=True), 0),
+        (stand(priority=0), stand(priority=1), 0),
+        (stand(accepted_ms=-500), stand(), 0),
+        (stand(accepted_ms=2000), stand(), 2000),
+        (stand(remaining_ms=500), stand(), 3000),
+        (stand(), stand(accepted_ms=-6000), 3000),
+    ],
+    ids=['lasting', 'share', 'priority', 'due', 'on time', 'soonest late', 'hopeless'],
+)
+def test_order_of_work(first: JobStanding, second: JobStanding, now_ms: float) -> None:
+    """Guards against room for jobs that can't be on time while others that can be wait."""
+    assert find_turn(first, now_ms) < find_turn(second, now_ms)
+
+
+def test_chain() -> None:
+    """Guards against an objective from the sum of all steps instead of their longest chain."""
+    request = Resources(1000)
+    steps = (
+        Step(1, request, 1000),
+        Step(1, request, 400),
+        Step(1, request, 500, after=(0, 1)),
+    )
+    assert find_chain_ms(steps) == 1500
+    assert find_chain_ms(steps, frozenset((0,))) == 900
+
+
+def due(name: str, **fields: object) -> WaveVm:
+    """Return a VM of a wave that is up and has no work."""
+    usual: dict[str, object] = {
+        'pool': 'p',
+        'up': True,
+        'emptying': False,
+        'emptying_for_s': 0,
+        'work': 0,
+        'blocked': False,
+    }
+    return WaveVm(name=name, **{**usual, **fields})  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ('vms', 'limit', 'chosen'),
+    [
+        ([due('a', work=3), due('b', work=1)], 1, ['b']),
+        ([due('a'), due('b'), due('c')], 3, ['a', 'b']),
+        ([due('a', emptying=True), due('b', emptying=True), due('c')], 3, []),
+        ([due('a', up=False), due('b')], 2, ['b']),
+        ([due('a'), due('b', pool='q')], 2, ['a', 'b']),
+        ([due('a')], 0, []),
+    ],
+    ids=['least work', 'share of a pool', 'share taken', 'down', 'two pools', 'limit'],
+)
+def test_emptying(vms: list[WaveVm], limit: int, chosen: list[str]) -> None:
+    """Guards against a wave that takes more of a pool than it can miss."""
+    assert [vm.name for vm in choose_emptying(vms, {'p': 8, 'q': 8}, limit)] == chosen
+
+
+@pytest.mark.parametrize(
+    ('vm', 'left_s', 'allowed'),
+    [
+        (due('a'), 20, False),
+        (due('a', emptying=True), 20, True),
+        (due('a', emptying=True, work=2), 20, False),
+        (due('a', emptying=True, work=2, emptying_for_s=3), 20, True),
+        (due('a', emptying=True, work=2), 5, True),
+        (due('a', emptying=True, blocked=True), 1, False),
+        (due('a', emptying=True, up=False), 20, False),
+    ],
+)
+def test_going_down(vm: WaveVm, left_s: float, allowed: bool) -> None:
+    """Guards against upkeep that ends work early, breaks a budget or comes too late."""
+    assert may_go_down(vm, left_s) is allowed
+
+
+@pytest.mark.parametrize(
+    ('step', 'blocked'),
+    [
+        (StepHealth(1, 0, {'t': 1, 'u': 1}), False),
+        (StepHealth(1, 1, {'t': 1}), True),
+        (StepHealth(1, 0, {'t': 2}), True),
+        (StepHealth(2, 0, {'t': 2}), False),
+        (StepHealth(0, 9, {'t': 2}), False),
+        (StepHealth(1, 1, {'u': 1}), False),
+    ],
+)
+def test_budget_of_steps(step: StepHealth, blocked: bool) -> None:
+    """Guards against a VM that goes down with a task which its step can't miss."""
+    assert is_blocked('t', [step]) is blocked
+
+
+def load(pool: str, load_vms: float, usable: int, idle: str = '', **fields: object) -> PoolLoad:
+    """Return the load of a working pool."""
+    usual: dict[str, object] = {'standby': False, 'arriving': 0, 'surplus_for_s': 0}
+    values = {**usual, **fields}
+    return PoolLoad(
+        pool=pool, load_vms=load_vms, usable=usable, idle_vms=tuple(idle.split()), **values
+    )  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ('loads', 'moves'),
+    [
+        ([load('a', 1, 3)], []),
+        ([load('a', 2.8, 4), load('s', 0, 0, 'x y', standby=True)], [VmMove('x', 'a')]),
+        ([load('a', 2.8, 4, arriving=1), load('s', 0, 0, 'x', standby=True)], []),
+        ([load('a', 2.8, 4), load('b', 0, 4, 'y z')], [VmMove('y', 'a')]),
+        ([load('b', 0, 4, 'y z'), load('s', 0, 0, standby=True)], []),
+        (
+            [
+                load('b', 0, 4, 'y z', surplus_for_s=SHRINK_AFTER_S),
+                load('s', 0, 0, standby=True),
+            ],
+            [VmMove('y', 's'), VmMove('z', 's')],
+        ),
+    ],
+    ids=['enough', 'standby', 'on its way', 'from another pool', 'not yet', 'to standby'],
+)
+def test_moves(loads: list[PoolLoad], moves: list[VmMove]) -> None:
+    """Guards against pools that lack VMs in a burst, and against idle VMs that are paid for."""
+    assert choose_moves(loads) == moves
+
+
+@pytest.mark.parametrize(
+    ('percent', 'ratio', 'expected'),
+    [(100, 0.5, 100), (40, 0.5, 60), (40, 0.7, 40), (100, 0.9, 50), (100, 1.0, 0), (0, 0.3, 20)],
+)
+def test_pace(percent: int, ratio: float, expected: int) -> None:
+    """Guards against fillers that harm tasks beside them, or never work again."""
+    assert choose_pace(percent, ratio) == expected
