--- a/comfreywind/cli/root.py
+++ b/comfreywind/cli/root.py
@@ -7,6 +7,7 @@
 from comfreywind.cli.check import check_command
 from comfreywind.cli.entry import entry_command
 from comfreywind.cli.explain import explain_command
+from comfreywind.cli.jobs import jobs_group
 from comfreywind.cli.key import key_group
 from comfreywind.cli.node import node_command
 from comfreywind.cli.report import report_group
@@ -29,3 +30,4 @@
 root_command.add_command(report_group)
 root_command.add_command(explain_command)
 root_command.add_command(node_command)
+root_command.add_command(jobs_group)
--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -27,6 +27,12 @@
     """A job that a caller handed in is not valid; nothing of it is accepted."""
 
 
+class JobMissingError(ComfreywindError):
+    """No job of that id is stored."""
+
+    exit_status = ExitStatus.REFUSED
+
+
 class OperationRefusedError(ComfreywindError):
     """An operator's request was refused and changed nothing."""
 
--- /dev/null
+++ b/comfreywind/report/job_report.py
@@ -0,0 +1,73 @@
+"""What an operator is told of jobs, read from the rows in the platform's store."""
+
+from comfreywind.errors import JobMissingError
+from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_codec import decode_job, decode_progress
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.tables import (
+    TABLE_INTAKE,
+    TABLE_PROGRESS,
+    TABLE_TERM,
+    TERM_KEY,
+    TERM_PART,
+    find_part,
+)
+from comfreywind.platform.rows_client import RowsClient
+from comfreywind.scheduling.term_row import TermRow, decode_term
+
+ReportRow = tuple[str, object]
+
+
+async def read_job_report(rows: RowsClient, job_id: str) -> list[ReportRow]:
+    """Return names and values that describe a job; raise JobMissingError when there is none."""
+    part = find_part(job_id)
+    job_row = await rows.read_row(TABLE_INTAKE, part, job_id)
+    progress_row = await rows.read_row(TABLE_PROGRESS, part, job_id)
+    if job_row.payload is None or progress_row.payload is None:
+        raise JobMissingError(f'no job {job_id} is stored')
+    return describe_job(decode_job(job_row.payload), decode_progress(progress_row.payload))
+
+
+async def read_holder_report(rows: RowsClient) -> list[ReportRow]:
+    """Return who holds the term and how many jobs of each queue have not begun."""
+    row = await rows.read_row(TABLE_TERM, TERM_PART, TERM_KEY)
+    term = decode_term(row.payload) if row.payload else TermRow('', 0)
+    state = 'released' if term.released else 'held'
+    report: list[ReportRow] = [('holder', term.holder), ('term', term.epoch), ('state', state)]
+    report.extend((f'pending in {queue}', count) for queue, count in sorted(term.pending.items()))
+    return report
+
+
+def describe_job(job: Job, progress: Progress) -> list[ReportRow]:
+    """Return names and values: state, what is done of each step, and why the job has not ended."""
+    report: list[ReportRow] = [
+        ('job', job.job_id),
+        ('state', progress.state.value),
+        ('team', job.team or '(open to all)'),
+        ('queue', job.queue.name),
+        ('pool', job.queue.pool),
+    ]
+    for number, step in enumerate(job.steps):
+        done = sum(task[1] == number for task in progress.done)
+        total = step.task_count * job.count_occurrences()
+        report.append((f'step {number}', f'{done} of {total} tasks done'))
+    failures = sum(progress.failures.values())
+    if failures:
+        report.append(('failed attempts', failures))
+    if not progress.state.final:
+        report.append(('waits for', _explain_wait(job, progress)))
+    return report
+
+
+def _explain_wait(job: Job, progress: Progress) -> str:
+    """Say what the job waits for, as far as its rows tell; the holder's log has the rest."""
+    if job.lasting:
+        return 'its cancelling; lasting tasks run until then'
+    if job.occurrence_count:
+        return 'the times of its occurrences and their ends'
+    open_steps = [
+        number
+        for number, step in enumerate(job.steps)
+        if sum(task[1] == number for task in progress.done) < step.task_count
+    ]
+    return f'step {open_steps[0]}: room in pool {job.queue.pool}, or the ends of its runs'
--- /dev/null
+++ b/tests/test_jobs_command.py
@@ -0,0 +1,54 @@
+"""`comfreywind jobs` against the stand-ins."""
+
+import pytest
+import trio
+
+from bench.job_fleet import run_job_fleet
+from comfreywind.exit_status import ExitStatus
+from tests.helpers.program import ProgramResult, run_program
+
+JOB = '00000000000000c1'
+
+
+async def run_jobs(*args: str) -> ProgramResult:
+    """Run the command in a thread, because it has an event loop of its own."""
+    return await trio.to_thread.run_sync(lambda: run_program('jobs', *args))
+
+
+async def test_show_job() -> None:
+    """Guards against an operator who can't see why a job has not ended."""
+    async with run_job_fleet(node_count=1, target_count=1) as fleet:
+        store = str(fleet.store_address)
+        await fleet.submit(0, JOB, 'work_s=1')
+        shown = await run_jobs('show', JOB, '--store', store)
+        assert '0 of 2 tasks done' in shown.stdout
+        assert 'waits for' in shown.stdout
+        await fleet.wait_for_state(0, JOB, 'complete')
+        shown = await run_jobs('show', JOB, '--store', store)
+        assert '2 of 2 tasks done' in shown.stdout
+        assert 'waits for' not in shown.stdout
+        holder = await run_jobs('holder', '--store', store)
+        assert 'node-0' in holder.stdout
+
+
+@pytest.mark.parametrize(
+    ('args', 'status', 'message'),
+    [
+        (('show', 'nonsense', '--store', '127.0.0.1:1'), ExitStatus.FAILURE, '16 hexadecimal'),
+        (('show', JOB, '--store', 'nowhere'), ExitStatus.USAGE_ERROR, '--store'),
+        (('holder', '--store', '127.0.0.1:1'), ExitStatus.UNREACHABLE, 'rows-get'),
+    ],
+)
+async def test_errors(args: tuple[str, ...], status: ExitStatus, message: str) -> None:
+    """Guards against errors that don't say which argument is wrong or what can't be reached."""
+    shown = await run_jobs(*args)
+    assert shown.exit_status is status
+    assert message in shown.stderr
+
+
+async def test_missing_job() -> None:
+    """Guards against an empty report of a job that does not exist."""
+    async with run_job_fleet(node_count=1, target_count=1) as fleet:
+        shown = await run_jobs('show', JOB, '--store', str(fleet.store_address))
+        assert shown.exit_status is ExitStatus.REFUSED
+        assert JOB in shown.stderr
