--- a/comfreywind/jobs/job_codec.py
+++ b/comfreywind/jobs/job_codec.py
@@ -39,7 +39,7 @@
 def encode_progress(progress: Progress) -> bytes:
     """Return the progress as the value of a row."""
     done = [list(task) for task in sorted(progress.done)]
-    failures = [[*task, count] for task, count in progress.failures.items()]
+    failures = [[*task, *sorted(runs)] for task, runs in progress.failures.items()]
     checkpoints = [[*task, text] for task, text in progress.checkpoints.items()]
     return _pack([FORMAT_VERSION, progress.state.value, done, failures, checkpoints])
 
@@ -77,7 +77,7 @@
     return Progress(
         JobState(state),
         {(task[0], task[1], task[2]) for task in done},
-        {(task[0], task[1], task[2]): task[3] for task in failures},
+        {(task[0], task[1], task[2]): set(task[3:]) for task in failures},
         {(task[0], task[1], task[2]): task[3] for task in checkpoints},
     )
 
--- a/comfreywind/report/job_report.py
+++ b/comfreywind/report/job_report.py
@@ -51,7 +51,7 @@
         done = sum(task[1] == number for task in progress.done)
         total = step.task_count * job.count_occurrences()
         report.append((f'step {number}', f'{done} of {total} tasks done'))
-    failures = sum(progress.failures.values())
+    failures = sum(map(len, progress.failures.values()))
     if failures:
         report.append(('failed attempts', failures))
     if not progress.state.final:
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -411,18 +411,18 @@
         if target.failure_streak >= FAILURE_STREAK_LIMIT:
             target.barred_until_s = now_s + BAR_AFTER_FAILURES_S
         task = (key.occurrence, key.step, record.list_represented(key)[0].number)
-        failures = record.progress.failures.get(task, 0) + 1
+        failed_runs = record.progress.failures.get(task, set()) | {ended.run_id}
         log.info(
             'task %s run %d: failed on %s, attempt %d',
             key,
             ended.run_id,
             target.entry.target_id,
-            failures,
+            len(failed_runs),
         )
         if record.job.steps[key.step].lasting:
             return
-        record.progress.failures[task] = failures
-        if failures >= record.job.queue.attempt_limit and record.open:
+        record.progress.failures[task] = failed_runs
+        if len(failed_runs) >= record.job.queue.attempt_limit and record.open:
             record.set_state(JobState.FAILED)
             self._close_job(record)
         self.mark_changed(record)
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -72,8 +72,8 @@
             key = TaskKey(self.job.job_id, occurrence, step, number)
             if key in self.waiting:
                 self.waiting.remove(key)
-        for task, count in stored.failures.items():
-            self.progress.failures[task] = max(count, self.progress.failures.get(task, 0))
+        for task, run_ids in stored.failures.items():
+            self.progress.failures.setdefault(task, set()).update(run_ids)
 
     def is_done(self, key: TaskKey) -> bool:
         """Return whether an end `done` of the task is known."""
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -8,6 +8,7 @@
 
 # Progress shows in each report; without any for this time a task stands still.
 STALL_S = 1.0
+FULL_PERCENT = 100
 
 
 class RunState(enum.StrEnum):
@@ -53,4 +54,5 @@
         """Return whether a short task that has worked stands still."""
         short = not self.lasting and not self.filler
         working = self.state is RunState.RUNNING and self.progressed_s > 0
-        return short and working and now_s - self.progressed_s >= STALL_S
+        unfinished = self.percent < FULL_PERCENT
+        return short and working and unfinished and now_s - self.progressed_s >= STALL_S
--- a/comfreywind/stand_ins/jobs/target_app.py
+++ b/comfreywind/stand_ins/jobs/target_app.py
@@ -21,6 +21,7 @@
 
     run_id: int
     ends_s: float
+    started_s: float
 
 
 @dataclass(slots=True)
@@ -77,7 +78,7 @@
             now_s = trio.current_time()
             self.log.starts.append((task, run_id, now_s))
             self._specs[task] = order['spec']
-            self.runs[task] = StandInRun(run_id, now_s + _read_work_s(order['spec']))
+            self.runs[task] = StandInRun(run_id, now_s + _read_work_s(order['spec']), now_s)
         if self.unanswered_starts:
             self.unanswered_starts -= 1
             await trio.sleep_forever()
@@ -90,7 +91,10 @@
             while not self._list_ended():
                 await trio.sleep(0.01)
                 self._end_runs()
-        active = [[task, run.run_id, '', 100, 0] for task, run in self.runs.items()]
+        now_s = trio.current_time()
+        active = [
+            [task, run.run_id, '', _find_percent(run, now_s), 0] for task, run in self.runs.items()
+        ]
         await self._reply(send, 200, {'active': active, 'finished': self._list_ended()})
 
     def _list_ended(self) -> list[list[object]]:
@@ -116,6 +120,13 @@
         await send_json(send, status, {**document, **clock})
 
 
+def _find_percent(run: StandInRun, now_s: float) -> int:
+    """Return how far a task is; one that lasts is always at work in full."""
+    if run.ends_s == float('inf'):
+        return 100
+    return min(100, int(100 * (now_s - run.started_s) / (run.ends_s - run.started_s)))
+
+
 def _ignore_fence(fence: int) -> None:
     """Do nothing; tests put an action in its place."""
 
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from comfreywind.jobs.job_codec import decode_progress, encode_progress
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.resources import Resources
@@ -379,3 +380,19 @@
     rig.add_job(make_job(GANG))
     rig.add_job(make_job(Step(2, Resources(1000, 100)), job_id='00000000000000b1'))
     assert {order.key.job_id for order in rig.start()} == {'00000000000000b1'}
+
+
+def test_failed_end_counts_once() -> None:
+    """Guards against a job that is given up early: an end that is listed again is one attempt.
+
+    Seen on prevoz-plan hunt-00d4-27 and hunt-00d4-15: the earlier holder had stored a failed end but
+    was lost before it acknowledged it, and its successor counted the end once more.
+    """
+    rig = BoardRig(epoch=2)
+    stored = Progress(failures={(0, 0, 0): {1, 2}})
+    rig.board.add_job(make_job(), decode_progress(encode_progress(stored)), 1, settled=True)
+    rig.report('t0', ended=((KEY, 2, RunOutcome.FAILED),))
+    assert rig.board.jobs[JOB_ID].open
+    (order,) = rig.start()
+    rig.end(order, RunOutcome.FAILED)
+    assert rig.board.jobs[JOB_ID].progress.state is JobState.FAILED
