--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -45,7 +45,6 @@
 }
 # Members of a gang are started within this time of each other.
 GANG_SETTLE_S = 0.5
-MS_PER_S = 1000
 NO_TARGETS: frozenset[str] = frozenset()
 
 log = logging.getLogger('comfreywind.board')
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -124,6 +124,9 @@
     def publish(self, orders: list[Order]) -> None:
         """Send orders and plan again soon."""
         self._wake.set()
+        self._send(orders)
+
+    def _send(self, orders: list[Order]) -> None:
         for order in orders:
             link = self._links.get(order.target_id)
             if link is not None and self._nursery is not None:
@@ -306,10 +309,7 @@
         orders.extend(self._planner.plan(now_s, now_ms))
         if self.board.changed_jobs:
             self.journal.wake()
-        for order in orders:
-            link = self._links.get(order.target_id)
-            if link is not None and self._nursery is not None:
-                self._nursery.start_soon(link.send, order)
+        self._send(orders)
 
     async def _settle_old_jobs(self) -> None:
         """Allow starts of older jobs once no run of an earlier holder can be unseen.
--- a/comfreywind/scheduling/term_keeper.py
+++ b/comfreywind/scheduling/term_keeper.py
@@ -73,11 +73,6 @@
         """Return the row as last read or written."""
         return self._seen_row
 
-    @property
-    def seen_version(self) -> int:
-        """Return the version of the row as last read or written."""
-        return self._version
-
     def is_valid(self) -> bool:
         """Return whether this node may give orders now."""
         now_s = self._clock.read_monotonic_s()
