Survive rows of our own tables that can't be read

Cause: decode errors of progress, term and roster rows ended the holder or the node, and with it the work of all queues; a store reply of another form ended the task that read it. Ruled out: treating unreadable progress as empty, because tasks that are done would run again; such a job is not scheduled and a call for it is answered 500. An unreadable roster has starts of older jobs wait until all earlier runs have lapsed. An unreadable term row lapses like a held one and is taken with the next epoch. Conclusion: one foreign row costs at most its own job.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -70,14 +70,17 @@
             await client.close()
 
     @asynccontextmanager
-    async def run_node(self, name: str) -> AsyncIterator[None]:
-        """Run one more node until the block is left."""
+    async def run_node(self, name: str) -> AsyncIterator[int]:
+        """Run one more node until the block is left; give its number for calls."""
         ports = [Address(HOST, PORTS.find_free()) for _ in range(2)]
         node = Node(make_settings(name, ports[0], ports[1], self.store_address), SystemClock())
         scope = trio.CancelScope()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_until_killed, node, scope)
-            yield
+            self.node_addresses.append(ports[0])
+            number = len(self.node_addresses) - 1
+            await wait_until_ready(self, number)
+            yield number
             scope.cancel()
 
     async def submit(self, node: int, job_id: str, spec: str = '', count: int = 2) -> int:
@@ -122,7 +125,8 @@
             scope = trio.CancelScope()
             fleet.scopes.append(scope)
             nursery.start_soon(run_until_killed, Node(settings, SystemClock()), scope)
-        await wait_until_ready(fleet)
+        for node in range(node_count):
+            await wait_until_ready(fleet, node)
         yield fleet
         nursery.cancel_scope.cancel()
 
@@ -133,12 +137,11 @@
         await node.run_parts(trio.Event())
 
 
-async def wait_until_ready(fleet: JobFleet) -> None:
-    """Return once every node knows the rules."""
-    for node, _ in enumerate(fleet.node_addresses):
-        with trio.fail_after(WAIT_LIMIT_S):
-            while not await _answers(fleet, node):
-                await trio.sleep(0.05)
+async def wait_until_ready(fleet: JobFleet, node: int) -> None:
+    """Return once the node knows the rules."""
+    with trio.fail_after(WAIT_LIMIT_S):
+        while not await _answers(fleet, node):
+            await trio.sleep(0.05)
 
 
 async def _answers(fleet: JobFleet, node: int) -> bool:
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -1,6 +1,7 @@
 """Callers' HTTP interface of jobs."""
 
 import logging
+from functools import singledispatch
 
 import trio
 
@@ -14,6 +15,7 @@
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.intake.job_store import JobStore
+from comfreywind.jobs.job_codec import RowFormatError
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.queue import Queue
@@ -81,12 +83,10 @@
                 return await self._route(method, path, headers, body)
             except Reply as reply:
                 return reply
-            except StoreRefusedError as error:
-                log.info('%s %s: 503, %s', method, path, error)
-                return Reply(503, {'error': 'the store refuses calls of this node'})
-            except StoreUnavailableError as error:
-                log.info('%s %s: 504, %s', method, path, error)
-                return Reply(504, {'error': 'the outcome is not known'})
+            except (RowFormatError, StoreUnavailableError) as error:
+                answer = _describe_failure(error)
+                log.info('%s %s: %d, %s', method, path, answer.status, error)
+                return answer
         log.info('%s %s: 504 at the deadline', method, path)
         return Reply(504, {'error': 'the outcome is not known'})
 
@@ -146,6 +146,26 @@
         return Reply(200, {'state': STATE_WORDS[state]})
 
 
+@singledispatch
+def _describe_failure(error: Exception) -> Reply:
+    raise TypeError(f'unknown failure {error!r}')
+
+
+@_describe_failure.register
+def _describe_doubt(error: StoreUnavailableError) -> Reply:
+    return Reply(504, {'error': 'the outcome is not known'})
+
+
+@_describe_failure.register
+def _describe_refusal(error: StoreRefusedError) -> Reply:
+    return Reply(503, {'error': 'the store refuses calls of this node'})
+
+
+@_describe_failure.register
+def _describe_format(error: RowFormatError) -> Reply:
+    return Reply(500, {'error': "the stored state of the job can't be read"})
+
+
 def _read_deadline_s(headers: dict[bytes, bytes]) -> float:
     text = headers.get(HEADER_DEADLINE, b'')
     deadline_s = int(text) / MS_PER_S if text.isdigit() else DEFAULT_DEADLINE_S
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -1,7 +1,8 @@
 """Client of the users' table service."""
 
 import base64
-from collections.abc import Sequence
+import contextlib
+from collections.abc import Iterator, Sequence
 from typing import Any
 from urllib.parse import quote
 
@@ -56,8 +57,8 @@
         """
         reply = await self._call('POST', '/v1/rows-tx', _encode_changes(part, changes))
         if reply.status == STATUS_CONFLICT:
-            raise RowsChangedError(_decode_rows(reply.read_json()['rows']))
-        return int(_check(reply).read_json()['schema_ver'])
+            raise RowsChangedError(_read_rows(_read_json(reply)))
+        return _read_version(_read_document(reply))
 
     async def read_row(self, table: str, part: str, key: str) -> StoredRow:
         """Return the row, with version 0 when it does not exist."""
@@ -92,20 +93,24 @@
         reply = await _call(self._feed_client, 'GET', path)
         if reply.status == STATUS_GONE:
             raise HistoryLostError(f'{table}: no history after version {after_version}')
-        return _decode_page(_check(reply).read_json())
+        return _decode_page(_read_document(reply))
 
     async def _read_page(self, table: str, part: str, bounds: str) -> RowPage:
         query = f'table_name={quote(table, safe="")}&part={quote(part, safe="")}{bounds}'
-        return _decode_page(_check(await self._call('GET', f'/v1/rows-get?{query}')).read_json())
+        return _decode_page(_read_document(await self._call('GET', f'/v1/rows-get?{query}')))
 
     async def _call(self, method: str, path: str, document: object | None = None) -> HttpReply:
         asked_s = self._clock.read_monotonic_s()
         reply = await _call(self._client, method, path, document)
         if reply.status == STATUS_OK:
-            store_ms = float(reply.read_json()['now_ms'])
-            self._store_time = StoreTime(store_ms, asked_s, self._clock.read_monotonic_s())
+            self._note_time(_read_json(reply), asked_s)
         return reply
 
+    def _note_time(self, document: dict[str, Any], asked_s: float) -> None:
+        with _reading_document():
+            store_ms = float(document['now_ms'])
+        self._store_time = StoreTime(store_ms, asked_s, self._clock.read_monotonic_s())
+
 
 async def _call(
     client: HttpClient, method: str, path: str, document: object | None = None
@@ -116,12 +121,31 @@
         raise StoreUnavailableError(f'{method} {path[:60]}: {error!r}') from error
 
 
-def _check(reply: HttpReply) -> HttpReply:
+def _read_document(reply: HttpReply) -> dict[str, Any]:
     if reply.status in STATUSES_REFUSED:
         raise StoreRefusedError(f'status {reply.status}')
     if reply.status != STATUS_OK:
         raise StoreUnavailableError(f'status {reply.status}: {reply.body[:200]!r}')
-    return reply
+    return _read_json(reply)
+
+
+def _read_json(reply: HttpReply) -> dict[str, Any]:
+    with _reading_document():
+        return dict(reply.read_json())
+
+
+@contextlib.contextmanager
+def _reading_document() -> Iterator[None]:
+    """Turn a reply of another form into an outcome that is not known."""
+    try:
+        yield
+    except (ValueError, TypeError, LookupError) as error:
+        raise StoreUnavailableError(f"reply of the store can't be read: {error!r}") from error
+
+
+def _read_version(document: dict[str, Any]) -> int:
+    with _reading_document():
+        return int(document['schema_ver'])
 
 
 def _encode_changes(part: str, changes: Sequence[RowChange]) -> dict[str, Any]:
@@ -145,12 +169,13 @@
 
 
 def _decode_page(document: dict[str, Any]) -> RowPage:
-    rows = _decode_rows(document['rows'])
-    return RowPage(rows, int(document['schema_ver']), bool(document.get('has_more')))
+    rows = _read_rows(document)
+    return RowPage(rows, _read_version(document), bool(document.get('has_more')))
 
 
-def _decode_rows(rows: list[dict[str, Any]]) -> tuple[StoredRow, ...]:
-    return tuple(map(_decode_row, rows))
+def _read_rows(document: dict[str, Any]) -> tuple[StoredRow, ...]:
+    with _reading_document():
+        return tuple(map(_decode_row, document['rows']))
 
 
 def _decode_row(row: dict[str, Any]) -> StoredRow:
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -82,7 +82,9 @@
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
         self._old_progress: dict[str, tuple[Progress, int]] = {}
+        self._unreadable_jobs: set[str] = set()
         self._old_roster: frozenset[str] = frozenset()
+        self._old_roster_known = True
         self._stored_roster: frozenset[str] = frozenset()
         self._roster_version = 0
         self._roster_s = float('-inf')
@@ -146,12 +148,27 @@
         for part in JOB_PARTS:
             page = await self._rows.read_part(TABLE_PROGRESS, part)
             for row in page.rows:
-                if row.payload is not None:
-                    self._old_progress[row.key] = (decode_progress(row.payload), row.version)
-        roster = await self._rows.read_row(TABLE_TERM, TERM_PART, ROSTER_KEY)
-        self._old_roster = decode_roster(roster.payload)
+                self._note_old_progress(row)
+        self._take_old_roster(await self._rows.read_row(TABLE_TERM, TERM_PART, ROSTER_KEY))
+
+    def _note_old_progress(self, row: StoredRow) -> None:
+        if row.payload is None:
+            return
+        try:
+            self._old_progress[row.key] = (decode_progress(row.payload), row.version)
+        except RowFormatError as error:
+            # What the job has done is not known, so none of its tasks may start.
+            self._unreadable_jobs.add(row.key)
+            log.warning('job %s is not scheduled: %s', row.key, error)
+
+    def _take_old_roster(self, row: StoredRow) -> None:
+        self._roster_version = row.version
+        try:
+            self._old_roster = decode_roster(row.payload)
+        except RowFormatError as error:
+            self._old_roster_known = False
+            log.warning('starts of older jobs wait until all earlier runs have lapsed: %s', error)
         self._stored_roster = self._old_roster
-        self._roster_version = roster.version
 
     def _start_vm_tasks(self, nursery: trio.Nursery, address: Address) -> None:
         client = VmClient(address)
@@ -222,6 +239,8 @@
         except RowFormatError as error:
             log.warning('job %s is not read: %s', row.key, error)
             return
+        if row.key in self._unreadable_jobs:
+            return
         # The progress row of a new job was written in the same transaction.
         progress, version = self._old_progress.pop(row.key, (Progress(), row.version))
         new = row.version > self._term.taken_version
@@ -321,7 +340,7 @@
             return
         waited_s = self._clock.read_monotonic_s() - self._term.taken_s
         unseen = [target_id for target_id in self._old_roster if self._is_unseen(target_id)]
-        if unseen and waited_s < UNSEEN_LAPSE_S:
+        if (unseen or not self._old_roster_known) and waited_s < UNSEEN_LAPSE_S:
             return
         try:
             await self._join_progress()
@@ -342,10 +361,8 @@
             page = await self._rows.read_part(TABLE_PROGRESS, part)
             for row in page.rows:
                 record = self.board.jobs.get(row.key)
-                newer = record is not None and row.version > record.progress_version
-                if record is not None and row.payload is not None and newer:
-                    record.progress_version = row.version
-                    self.board.join_progress(record, decode_progress(row.payload))
+                if record is not None and row.version > record.progress_version:
+                    self.journal.merge_row(record, row)
 
     def _is_unseen(self, target_id: str) -> bool:
         record = self.board.targets.get(target_id)
@@ -384,6 +401,11 @@
 
     def _note_roster(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
-            if row.key != TERM_KEY:
-                self._roster_version = row.version
+            if row.key == TERM_KEY:
+                continue
+            self._roster_version = row.version
+            try:
                 self._stored_roster = decode_roster(row.payload)
+            except RowFormatError as error:
+                self._stored_roster = frozenset()
+                log.warning('the roster is written anew: %s', error)
--- a/comfreywind/scheduling/progress_journal.py
+++ b/comfreywind/scheduling/progress_journal.py
@@ -5,7 +5,7 @@
 import trio
 
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
-from comfreywind.jobs.job_codec import decode_progress, encode_progress
+from comfreywind.jobs.job_codec import RowFormatError, decode_progress, encode_progress
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.tables import TABLE_PROGRESS, find_part
 from comfreywind.platform.rows_client import RowsClient
@@ -41,6 +41,21 @@
         with trio.move_on_after(limit_s):
             await self._stored.wait()
 
+    def merge_row(self, record: JobRecord, row: StoredRow) -> None:
+        """Join a newer row of a job; one that can't be read is overwritten with the next change."""
+        if row.payload is None:
+            return
+        record.progress_version = row.version
+        try:
+            stored = decode_progress(row.payload)
+        except RowFormatError as error:
+            log.warning('progress of job %s is written anew: %s', row.key, error)
+            self._board.mark_changed(record)
+            return
+        self._board.join_progress(record, stored)
+        if stored.state is JobState.CANCELLED:
+            record.progress.state = JobState.CANCELLED
+
     async def run(self) -> None:
         """Store changes as they come, for ever."""
         while True:
@@ -97,13 +112,8 @@
         """Join rows that changed: a caller's cancelling, or an earlier write of this journal."""
         for row in rows:
             record = self._board.jobs.get(row.key)
-            if record is None or row.payload is None:
-                continue
-            record.progress_version = row.version
-            stored = decode_progress(row.payload)
-            self._board.join_progress(record, stored)
-            if stored.state is JobState.CANCELLED:
-                record.progress.state = JobState.CANCELLED
+            if record is not None:
+                self.merge_row(record, row)
 
     def _mark_again(self, records: list[JobRecord]) -> None:
         for record in records:
--- a/comfreywind/scheduling/term_keeper.py
+++ b/comfreywind/scheduling/term_keeper.py
@@ -10,6 +10,7 @@
 from comfreywind.decisions.scheduling.term import (
     POLL_INTERVAL_S,
     RENEW_INTERVAL_S,
+    SLOW_STORE_TERM_S,
     USUAL_TERM_S,
     LeaseSighting,
     TermStep,
@@ -19,6 +20,7 @@
     is_term_valid,
 )
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.jobs.job_codec import RowFormatError
 from comfreywind.jobs.tables import TABLE_TERM, TERM_KEY, TERM_PART
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
@@ -190,7 +192,23 @@
         if stored.version != self._version:
             self._version = stored.version
             self._version_since_s = self._clock.read_monotonic_s()
-        self._seen_row = decode_term(stored.payload) if stored.payload else TermRow('', 0)
+        self._seen_row = self._read_term(stored)
+
+    def _read_term(self, stored: StoredRow) -> TermRow:
+        """Return the row; one that can't be read counts as a term of unknown holder and full length.
+
+        Targets refuse a fence that is too low, so a node that had not seen the epoch finds it by
+        taking the term again.
+        """
+        if not stored.payload:
+            return TermRow('', 0)
+        try:
+            return decode_term(stored.payload)
+        except RowFormatError as error:
+            log.warning(
+                'term row at version %d is overwritten once it lapses: %s', stored.version, error
+            )
+            return TermRow('', self._seen_row.epoch, term_s=SLOW_STORE_TERM_S)
 
     def _lose(self, reason: str) -> None:
         log.info('term %d: lost: %s', self._seen_row.epoch, reason)
--- a/comfreywind/scheduling/term_row.py
+++ b/comfreywind/scheduling/term_row.py
@@ -35,9 +35,12 @@
 def decode_term(payload: bytes) -> TermRow:
     """Return the row; raise RowFormatError when it can't be read."""
     try:
-        return TermRow(*msgpack.unpackb(payload))
+        row = TermRow(*msgpack.unpackb(payload))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise RowFormatError(f'row of the term: {error}') from error
+    if not isinstance(row.epoch, int) or not isinstance(row.renewal, int):
+        raise RowFormatError('row of the term: epoch and renewal are whole numbers')
+    return row
 
 
 def encode_roster(target_ids: frozenset[str]) -> bytes:
@@ -47,5 +50,13 @@
 
 
 def decode_roster(payload: bytes | None) -> frozenset[str]:
-    """Return the targets that may have runs."""
-    return frozenset(msgpack.unpackb(payload)) if payload else frozenset()
+    """Return the targets that may have runs; raise RowFormatError when the row can't be read."""
+    if not payload:
+        return frozenset()
+    try:
+        target_ids = frozenset(msgpack.unpackb(payload))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise RowFormatError(f'row of the roster: {error}') from error
+    if not all(isinstance(target_id, str) for target_id in target_ids):
+        raise RowFormatError('row of the roster: ids of targets are texts')
+    return target_ids
