--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -54,6 +54,7 @@
     store: StoreApp
     targets: list[JobTargetApp]
     node_addresses: list[Address]
+    metrics_addresses: list[Address]
     store_address: Address
     scopes: list[trio.CancelScope] = field(default_factory=list)
     log: StartLog = field(default_factory=StartLog)
@@ -72,12 +73,13 @@
     @asynccontextmanager
     async def run_node(self, name: str) -> AsyncIterator[int]:
         """Run one more node until the block is left; give its number for calls."""
-        ports = [Address(HOST, PORTS.find_free()) for _ in range(2)]
-        node = Node(make_settings(name, ports[0], ports[1], self.store_address), SystemClock())
+        ports = [Address(HOST, PORTS.find_free()) for _ in range(3)]
+        node = Node(make_settings(name, ports, self.store_address), SystemClock())
         scope = trio.CancelScope()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_until_killed, node, scope)
             self.node_addresses.append(ports[0])
+            self.metrics_addresses.append(ports[2])
             number = len(self.node_addresses) - 1
             await wait_until_ready(self, number)
             yield number
@@ -104,24 +106,29 @@
 @asynccontextmanager
 async def run_job_fleet(node_count: int = 2, target_count: int = 2) -> AsyncIterator[JobFleet]:
     """Run a fleet until the block is left."""
-    address_count = 1 + target_count + 2 * node_count
+    address_count = 1 + target_count + 3 * node_count
     addresses = [Address(HOST, PORTS.find_free()) for _ in range(address_count)]
     store, shutdown, log = StoreApp(), trio.Event(), StartLog()
     target_addresses = addresses[1 : 1 + target_count]
-    node_addresses = addresses[1 + target_count :: 2]
-    ready_addresses = addresses[2 + target_count :: 2]
+    node_addresses = addresses[1 + target_count :]
+    ports_by_node = [node_addresses[start : start + 3] for start in range(0, 3 * node_count, 3)]
     async with trio.open_nursery() as nursery:
         targets = [JobTargetApp(log) for _ in target_addresses]
-        fleet = JobFleet(store, targets, node_addresses, addresses[0], log=log)
+        fleet = JobFleet(
+            store,
+            targets,
+            [ports[0] for ports in ports_by_node],
+            [ports[2] for ports in ports_by_node],
+            addresses[0],
+            log=log,
+        )
         store.write_document('op', 'config', make_config())
         nursery.start_soon(partial(serve_app, store, addresses[0], shutdown))
         for number, (target, address) in enumerate(zip(targets, target_addresses, strict=True)):
             store.write_document('servers', f'i-{number}', describe_target(address))
             nursery.start_soon(partial(serve_app, target, address, shutdown))
-        for number, (address, ready) in enumerate(
-            zip(node_addresses, ready_addresses, strict=True)
-        ):
-            settings = make_settings(f'node-{number}', address, ready, addresses[0])
+        for number, ports in enumerate(ports_by_node):
+            settings = make_settings(f'node-{number}', ports, addresses[0])
             scope = trio.CancelScope()
             fleet.scopes.append(scope)
             nursery.start_soon(run_until_killed, Node(settings, SystemClock()), scope)
@@ -168,13 +175,14 @@
     }
 
 
-def make_settings(name: str, callers: Address, ready: Address, store: Address) -> NodeSettings:
-    """Return settings of a node on loopback."""
+def make_settings(name: str, ports: list[Address], store: Address) -> NodeSettings:
+    """Return settings of a node on loopback; `ports` serve callers, readiness and metrics."""
     return NodeSettings(
         name=name,
         data_centre='dc',
-        caller_address=callers,
-        ready_address=ready,
+        caller_address=ports[0],
+        ready_address=ports[1],
+        metrics_address=ports[2],
         store_address=store,
         vm_service_address=None,
         advice_address=None,
--- a/comfreywind/cli/jobs.py
+++ b/comfreywind/cli/jobs.py
@@ -5,6 +5,7 @@
 import click
 import trio
 
+from comfreywind.cli.address_option import read_address
 from comfreywind.cli.text_table import format_table
 from comfreywind.clock import SystemClock
 from comfreywind.environment import Environment
@@ -12,7 +13,6 @@
 from comfreywind.platform.caller_codec import JOB_ID_PATTERN
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.report.job_report import ReportRow, read_holder_report, read_job_report
-from comfreywind.settings.address import parse_address
 
 HEADINGS = ('field', 'value')
 ReadReport = Callable[[RowsClient], Awaitable[list[ReportRow]]]
@@ -55,9 +55,6 @@
 
 def print_report(env: Environment, store_address: str, read: ReadReport) -> None:
     """Read from the store and print a table."""
-    try:
-        address = parse_address(store_address)
-    except ValueError as error:
-        raise click.BadParameter(str(error), param_hint='--store') from error
+    address = read_address(store_address, '--store')
     report = trio.run(read, RowsClient(address, 0, SystemClock()))
     env.print_line(format_table(HEADINGS, report))
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -19,6 +19,7 @@
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.queue import Queue
+from comfreywind.metrics import Metrics
 from comfreywind.platform.caller_codec import JOB_ID_PATTERN, STATE_WORDS, decode_job_request
 from comfreywind.platform.wire import HEADER_DEADLINE
 from comfreywind.scheduling.rules_follower import RulesFollower
@@ -28,6 +29,7 @@
 RETRY_AFTER_S = 1
 BEARER = 'bearer '
 MS_PER_S = 1000
+METHODS = frozenset(('GET', 'POST', 'DELETE'))
 DEFAULT_DEADLINE_S = 3.0
 # Time kept for the answer to reach the caller before its deadline.
 ANSWER_MARGIN_S = 0.1
@@ -49,9 +51,15 @@
     """ASGI app that accepts jobs, tells their states and cancels them."""
 
     def __init__(
-        self, rules: RulesFollower, store: JobStore, keeper: TermKeeper, clock: Clock
+        self,
+        rules: RulesFollower,
+        store: JobStore,
+        keeper: TermKeeper,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         """Use the node's rules, store and view of the term."""
+        self._metrics = metrics
         self._rules = rules
         self._store = store
         self._keeper = keeper
@@ -68,13 +76,22 @@
         except BodyTooLargeError as error:
             await send_json(send, 413, {'error': str(error)})
             return
+        started_s = self._clock.read_monotonic_s()
         reply = await self._serve(scope['method'], scope['path'], headers, body)
+        self._note_call(scope['method'], reply.status, started_s)
         # An open connection stays with this node until it is closed.
         extra = [(b'connection', b'close')] if self.closing else []
         if reply.status in (429, 503):
             extra.append((b'retry-after', str(RETRY_AFTER_S).encode()))
         await send_json(send, reply.status, reply.document, extra)
 
+    def _note_call(self, method: str, status: int, started_s: float) -> None:
+        # Callers choose the method, so only those that are served name a metric.
+        name = method if method in METHODS else 'other'
+        duration_s = self._clock.read_monotonic_s() - started_s
+        self._metrics.record_duration(f'calls.{name}', duration_s)
+        self._metrics.count(f'calls.{name}.{status}')
+
     async def _serve(
         self, method: str, path: str, headers: dict[bytes, bytes], body: bytes
     ) -> Reply:
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -6,6 +6,7 @@
 import trio
 
 from comfreywind.clock import Clock, SystemClock
+from comfreywind.exposed_metrics import ExposedMetrics
 from comfreywind.http.server import serve_app
 from comfreywind.intake.job_app import JobApp
 from comfreywind.intake.job_store import JobStore
@@ -36,10 +37,13 @@
         """Wire the parts together."""
         self._settings = settings
         self._clock = clock
-        self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock)
+        self._metrics = ExposedMetrics()
+        self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock, self._metrics)
         self._rules = RulesFollower(self._rows, clock)
         self._keeper = TermKeeper(self._rows, settings.name, clock, settings.cores)
-        self._job_app = JobApp(self._rules, JobStore(self._rows), self._keeper, clock)
+        self._job_app = JobApp(
+            self._rules, JobStore(self._rows), self._keeper, clock, self._metrics
+        )
         self._stopping = False
 
     async def run(self) -> None:
@@ -73,6 +77,8 @@
                 serve_app, self._job_app, settings.caller_address, shutdown, GRACEFUL_S
             )
             servers.start_soon(serve_app, ready_app, settings.ready_address, shutdown, 0)
+            if settings.metrics_address is not None:
+                servers.start_soon(serve_app, self._metrics, settings.metrics_address, shutdown, 0)
             await termination.wait()
             log.info('stopping: taken out of rotation')
             self._stopping = True
@@ -91,7 +97,13 @@
                 continue
             await self._rules.wait_loaded()
             holder = Holder(
-                term, self._settings, self._rows, self._rules, self._keeper, self._clock
+                term,
+                self._settings,
+                self._rows,
+                self._rules,
+                self._keeper,
+                self._clock,
+                self._metrics,
             )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(holder.run)
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -14,6 +14,7 @@
     StoreUnavailableError,
 )
 from comfreywind.http.client import HttpClient, HttpReply
+from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.store_call import CALL_FAILURES
 from comfreywind.platform.store_time import StoreTime
 from comfreywind.platform.stored_row import RowChange, RowPage, StoredRow
@@ -35,8 +36,11 @@
 class RowsClient:
     """Reads rows and changes, and commits transactions."""
 
-    def __init__(self, address: Address, feed_wait_s: float, clock: Clock) -> None:
+    def __init__(
+        self, address: Address, feed_wait_s: float, clock: Clock, metrics: Metrics | None = None
+    ) -> None:
         """Prepare the clients; feeds have one of their own, because they wait for changes."""
+        self._metrics = metrics or NoMetrics()
         self._client = HttpClient(address, CALL_TIMEOUT_S)
         self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S)
         self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
@@ -101,7 +105,14 @@
 
     async def _call(self, method: str, path: str, document: object | None = None) -> HttpReply:
         asked_s = self._clock.read_monotonic_s()
-        reply = await _call(self._client, method, path, document)
+        try:
+            reply = await _call(self._client, method, path, document)
+        except StoreUnavailableError:
+            self._metrics.count('store_calls.unanswered')
+            raise
+        duration_s = self._clock.read_monotonic_s() - asked_s
+        self._metrics.record_duration(f'store_calls.{method}', duration_s)
+        self._metrics.count(f'store_calls.{reply.status}')
         if reply.status == STATUS_OK:
             self._note_time(_read_json(reply), asked_s)
         return reply
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -18,6 +18,7 @@
     TERM_KEY,
     TERM_PART,
 )
+from comfreywind.metrics import Metrics
 from comfreywind.platform.advice_client import AdviceClient
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
@@ -67,8 +68,10 @@
         rules: RulesFollower,
         keeper: TermKeeper,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         """Prepare the term; nothing is read or ordered yet."""
+        self._metrics = metrics
         self._term = term
         self._settings = settings
         self._rows = rows
@@ -287,6 +290,7 @@
             self._clock,
             self._settings.timings.lease_limit_s,
             self.publish,
+            self._metrics,
         )
         self._links[target_id] = link
         self._nursery.start_soon(self._run_link, target_id, link)
@@ -304,8 +308,19 @@
         while True:
             await trio.sleep(TICK_S)
             self._keeper.own_pending = self.board.count_pending()
+            self._note_levels()
             self._wake.set()
 
+    def _note_levels(self) -> None:
+        targets = self.board.targets.values()
+        self._metrics.set_level('jobs.open', len(self.board.open_jobs))
+        self._metrics.set_level(
+            'tasks.waiting', sum(len(record.waiting) for record in self.board.open_jobs.values())
+        )
+        self._metrics.set_level('runs', sum(len(target.runs) for target in targets))
+        self._metrics.set_level('targets', len(targets))
+        self._metrics.set_level('targets.silent', sum(target.silent for target in targets))
+
     async def _plan_forever(self) -> None:
         pause_s = GATHER_S
         while True:
@@ -316,6 +331,7 @@
             await self._settle_old_jobs()
             if self._keeper.is_valid() and await self._store_roster():
                 self._plan()
+                self._metrics.record_duration('plan', trio.current_time() - started_s)
             pause_s = max(GATHER_S, PLAN_PAUSE_RATIO * (trio.current_time() - started_s))
 
     def _plan(self) -> None:
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -10,6 +10,7 @@
 from comfreywind.errors import TargetReplacedError, TargetSilentError
 from comfreywind.jobs.run_report import TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.metrics import Metrics
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.orders import Order, PaceOrder, StartOrder, StopOrder
@@ -47,8 +48,10 @@
         clock: Clock,
         lease_limit_s: float,
         publish: Callable[[list[Order]], None],
+        metrics: Metrics,
     ) -> None:
         """Serve the target of the record; `publish` takes orders that follow from its reports."""
+        self._metrics = metrics
         self._record = record
         self._client = client
         self._board = board
@@ -94,6 +97,7 @@
             return self._board.note_start(
                 order, StartAnswer.EXPIRED, self._clock.read_monotonic_s()
             )
+        sent_s = self._clock.read_monotonic_s()
         answer = await self._client.start(
             order.key,
             order.run_id,
@@ -103,6 +107,8 @@
             order.checkpoint,
             order.ticket,
         )
+        self._metrics.record_duration('starts', self._clock.read_monotonic_s() - sent_s)
+        self._metrics.count(f'starts.{answer.value}')
         if answer is StartAnswer.FENCED:
             self._keeper.depose(f'target {order.target_id} has a higher fence')
         self._wake.set()
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -13,11 +13,12 @@
     may_go_down,
 )
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.jobs.job_codec import RowFormatError
 from comfreywind.jobs.tables import TABLE_TERM, TERM_PART
 from comfreywind.jobs.upkeep_wave import UpkeepWave
 from comfreywind.jobs.vm import Vm
 from comfreywind.platform.rows_client import RowsClient
-from comfreywind.platform.stored_row import RowChange
+from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.platform.vm_client import VmClient, VmOrderAnswer
 from comfreywind.platform.wave_codec import encode_wave_state
 from comfreywind.platform.wire import PREFIX_WAVE, TABLE_STATUS
@@ -102,7 +103,7 @@
                 log.info('upkeep not read yet: %s', error)
                 await trio.sleep(INTERVAL_S)
             else:
-                self._done = decode_upkeep(row.payload)
+                self._done = _read_done(row)
                 self._done_version = row.version
                 return
 
@@ -260,3 +261,12 @@
         await self._rows.commit('', [change])
         self._told[wave.wave] = complete
         log.info('wave %d: %s', wave.wave, 'complete' if complete else 'in progress')
+
+
+def _read_done(row: StoredRow) -> dict[int, set[str]]:
+    """Return the VMs done in each wave; the VM service takes an upkeep that is done only once."""
+    try:
+        return decode_upkeep(row.payload)
+    except RowFormatError as error:
+        log.warning('all VMs of the waves count as due: %s', error)
+        return {}
--- a/comfreywind/scheduling/upkeep_row.py
+++ b/comfreywind/scheduling/upkeep_row.py
@@ -2,6 +2,8 @@
 
 import msgpack
 
+from comfreywind.jobs.job_codec import RowFormatError
+
 UPKEEP_KEY = 'upkeep'
 
 
@@ -12,8 +14,11 @@
 
 
 def decode_upkeep(payload: bytes | None) -> dict[int, set[str]]:
-    """Return the names of the VMs done in each wave."""
+    """Return the names of the VMs done in each wave; raise RowFormatError for another format."""
     if not payload:
         return {}
-    waves = msgpack.unpackb(payload, strict_map_key=False)
+    try:
+        waves = dict(msgpack.unpackb(payload, strict_map_key=False))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise RowFormatError(f'row of the upkeep: {error}') from error
     return {int(wave): set(names) for wave, names in waves.items()}
--- a/comfreywind/settings/node.py
+++ b/comfreywind/settings/node.py
@@ -40,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
-    """Addresses and bounds of a node; `cores` is the processor time that its VM gives it."""
+    """Addresses and bounds of a node; `cores` is the processor time that its VM gives it.
+
+    Metrics are served only where they have an address.
+    """
 
     name: str
     data_centre: str
@@ -54,3 +57,4 @@
     vm_orders_per_s: float = 64
     memory_mb: int = 300
     cores: float = 1
+    metrics_address: Address | None = None
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -7,6 +7,7 @@
 
 from comfreywind.errors import TargetReplacedError, TargetSilentError
 from comfreywind.jobs.run_report import RunOutcome, TargetReport
+from comfreywind.metrics import NoMetrics
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.target_link import TargetLink
@@ -68,6 +69,7 @@
         TrioClock(),
         6,
         lambda orders: None,
+        NoMetrics(),
     )
 
 
