--- a/comfreywind/decisions/scheduling/work_order.py
+++ b/comfreywind/decisions/scheduling/work_order.py
@@ -1,5 +1,6 @@
 """In which order the jobs of a pool get room."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from comfreywind.jobs.job import Job
@@ -27,6 +28,9 @@
     remaining_ms: float
 
 
+FindTurn = Callable[[JobStanding, float], tuple[float, ...]]
+
+
 def find_turn(standing: JobStanding, now_ms: float) -> tuple[float, ...]:
     """Return the sort key of a job: lasting tasks, then jobs that can be on time, then the others.
 
--- a/comfreywind/http/client.py
+++ b/comfreywind/http/client.py
@@ -11,6 +11,7 @@
 from comfreywind.settings.address import Address
 
 HeaderItems = list[tuple[bytes, bytes]]
+CLOSE_LIMIT_S = 1.0
 COMMON_HEADERS = ((b'content-type', b'application/json'), (b'accept-encoding', b'gzip'))
 
 
@@ -34,11 +35,20 @@
         return json.loads(self.body)
 
 
+@dataclass(slots=True)
+class _Pool:
+    """Connections, how many calls use them now, and whether further calls may."""
+
+    connections: httpcore.AsyncConnectionPool
+    calls: int = 0
+    retired: bool = False
+
+
 class HttpClient:
     """Calls one address; each call has one total timeout.
 
-    A call that fails by timeout drops the idle connections of the pool, because a connection that
-    has gone silent for good would make the next calls fail as well.
+    After a timeout further calls use new connections, because one that has gone silent for good
+    would make them fail as well. Calls that are under way keep theirs: a slow service still answers.
     """
 
     def __init__(self, address: Address, timeout_s: float, connection_limit: int = 16) -> None:
@@ -59,31 +69,43 @@
         body = b'' if document is None else json.dumps(document).encode()
         all_headers = [*(headers or []), *COMMON_HEADERS]
         pool = self._pool
+        pool.calls += 1
         try:
             with trio.fail_after(self._timeout_s):
-                response = await pool.request(
+                response = await pool.connections.request(
                     method, f'{self._base_url}{path}', headers=all_headers, content=body
                 )
         except trio.TooSlowError:
-            await self._replace_pool(pool)
+            self._retire(pool)
             raise
+        finally:
+            pool.calls -= 1
+            await _close_unused(pool)
         return _make_reply(response)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        await self._pool.connections.aclose()
+
+    def _retire(self, pool: _Pool) -> None:
+        pool.retired = True
+        if self._pool is pool:
+            self._pool = self._make_pool()
+
+    def _make_pool(self) -> _Pool:
+        return _Pool(
+            httpcore.AsyncConnectionPool(
+                max_connections=self._connection_limit, keepalive_expiry=30
+            )
+        )
 
-    async def _replace_pool(self, silent_pool: httpcore.AsyncConnectionPool) -> None:
-        if self._pool is not silent_pool:
-            return
-        self._pool = self._make_pool()
-        with trio.move_on_after(1):
-            await silent_pool.aclose()
 
-    def _make_pool(self) -> httpcore.AsyncConnectionPool:
-        return httpcore.AsyncConnectionPool(
-            max_connections=self._connection_limit, keepalive_expiry=30
-        )
+async def _close_unused(pool: _Pool) -> None:
+    """Close a retired pool after its last call."""
+    if not pool.retired or pool.calls:
+        return
+    with trio.move_on_after(CLOSE_LIMIT_S, shield=True):
+        await pool.connections.aclose()
 
 
 def _make_reply(response: httpcore.Response) -> HttpReply:
--- a/comfreywind/lab/emulator.py
+++ b/comfreywind/lab/emulator.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.pool import Pool
 from comfreywind.jobs.progress import Progress
@@ -18,6 +17,7 @@
 from comfreywind.lab.arrival import Arrival
 from comfreywind.lab.emulated_vm import EmulatedVm
 from comfreywind.lab.fleet_model import FleetModel
+from comfreywind.lab.lab_policy import LabPolicy
 from comfreywind.lab.outcome import Outcome
 from comfreywind.lab.worth import note_end, note_unfinished
 from comfreywind.scheduling.board import Board
@@ -38,13 +38,13 @@
 class Emulator:
     """One run: events in the order of their times, no network and no real time."""
 
-    def __init__(self, model: FleetModel, arrivals: Iterable[Arrival], policy: PoolPolicy) -> None:
+    def __init__(self, model: FleetModel, arrivals: Iterable[Arrival], policy: LabPolicy) -> None:
         """Prepare the fleet; every VM starts in its pool, without work."""
         self._model = model
         self._arrivals = {arrival.job.job_id: arrival for arrival in arrivals}
         self._board = Board(1)
-        self._planner = Planner(self._board)
-        self._sizer = PoolSizer(self._board, policy)
+        self._planner = Planner(self._board, policy.find_turn)
+        self._sizer = None if policy.pools is None else PoolSizer(self._board, policy.pools)
         self._events: list[tuple[float, int, Act]] = []
         self._numbers = itertools.count()
         self._now_s: float = 0
@@ -66,7 +66,8 @@
         for arrival in self._arrivals.values():
             self._at(arrival.time_s, partial(self._accept, arrival))
         self._at(0, self._read_list)
-        self._at(0, self._size_pools)
+        if self._sizer is not None:
+            self._at(0, partial(self._size_pools, self._sizer))
         while self._events and self._events[0][0] <= end_s:
             event = heapq.heappop(self._events)
             self._now_s = event[0]
@@ -112,12 +113,12 @@
         self._listed = {name: vm.describe() for name, vm in self._vms.items()}
         self._at(self._now_s + self._model.list_interval_s, self._read_list)
 
-    def _size_pools(self) -> None:
+    def _size_pools(self, sizer: PoolSizer) -> None:
         pools = self._board.rules.pools.values()
-        for move in self._sizer.choose(pools, self._listed, self._now_s):
-            if self._sizer.begin(self._listed[move.vm], move.pool, self._now_s):
+        for move in sizer.choose(pools, self._listed, self._now_s):
+            if sizer.begin(self._listed[move.vm], move.pool, self._now_s):
                 self._move(self._vms[move.vm], move.pool)
-        self._at(self._now_s + SIZING_INTERVAL_S, self._size_pools)
+        self._at(self._now_s + SIZING_INTERVAL_S, partial(self._size_pools, sizer))
 
     def _move(self, vm: EmulatedVm, pool: str) -> None:
         self._outcome.moves += 1
--- a/comfreywind/lab/outcome.py
+++ b/comfreywind/lab/outcome.py
@@ -26,8 +26,18 @@
         """Return the part of the worth that was earned."""
         return self.earned / self.owed if self.owed else 0
 
-    def find_worst_windows(self, count: int = 2) -> float:
-        """Return the part earned in the windows of arrivals that were served worst."""
-        parts = sorted(earned / owed for owed, earned in self.earned_by_window.values() if owed)
-        worst = parts[:count]
-        return sum(worst) / len(worst) if worst else 0
+    @property
+    def worst_windows(self) -> float:
+        """Return the part earned in the two windows of arrivals that were served worst."""
+        parts = sorted(_divide(sums) for sums in self.earned_by_window.values())
+        return sum(parts[:2]) / len(parts[:2]) if parts else 0
+
+    @property
+    def worst_queue(self) -> float:
+        """Return the part earned by the queue that was served worst."""
+        return min(map(_divide, self.earned_by_queue.values()), default=0)
+
+
+def _divide(sums: list[float]) -> float:
+    owed, earned = sums
+    return earned / owed if owed else 1
--- a/comfreywind/lab/scenarios.py
+++ b/comfreywind/lab/scenarios.py
@@ -22,6 +22,7 @@
 
 
 SMALL = _Sizes((2.6, 0.65, 3.1, 0.75), 6, 1_800, 3_800)
+CROWDED = _Sizes((4.5, 1.1, 5.4, 1.3), 6, 1_800, 3_800)
 GROWN = _Sizes((9.14, 2.92, 11.4, 3.58), 8, 3_100, 6_700)
 
 
@@ -52,6 +53,7 @@
     scenario.name: scenario
     for scenario in (
         _make_scenario('turns-small', SMALL, (8, 9, 11, 12, 8)),
+        _make_scenario('turns-crowded', CROWDED, (8, 9, 11, 12, 8)),
         _make_scenario('steady-small', SMALL, (8, 9, 11, 12, 8), turns=False),
         _make_scenario('turns-grown', GROWN, (32, 36, 40, 44, 28)),
         _make_scenario('steady-grown', GROWN, (32, 36, 40, 44, 28), turns=False),
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -52,6 +52,7 @@
 PLAN_PAUSE_RATIO = 2
 TICK_S = 0.1
 RETRY_S = 0.2
+SETTLE_INTERVAL_S = 0.03
 # A target that is gone may stay in the roster so long; that only delays a later holder.
 ROSTER_INTERVAL_S = 1.0
 # After this time every run of an earlier holder has lapsed, on a clock that is 2 % slow.
@@ -136,6 +137,7 @@
                 len(self.board.targets),
             )
             nursery.start_soon(self._tick)
+            nursery.start_soon(self._settle_old_jobs)
             if self._settings.advice_address is not None:
                 client = AdviceClient(self._settings.advice_address)
                 advice = AdviceKeeper(client, self._planner, self._clock, self._wake_planner)
@@ -350,7 +352,6 @@
             await trio.sleep(pause_s)
             self._wake = trio.Event()
             started_s = trio.current_time()
-            await self._settle_old_jobs()
             if self._keeper.is_valid() and await self._store_roster():
                 self._plan()
                 self._metrics.record_duration('plan', trio.current_time() - started_s)
@@ -369,13 +370,17 @@
         self._send(orders)
 
     async def _settle_old_jobs(self) -> None:
+        """Look until the older jobs may be started; a slow store must not hold up planning."""
+        while not self._settled:
+            await trio.sleep(SETTLE_INTERVAL_S)
+            await self._try_to_settle()
+
+    async def _try_to_settle(self) -> None:
         """Allow starts of older jobs once no run of an earlier holder can be unseen.
 
         Until this holder's fence had reached a target, the earlier one could still store ends and
         acknowledge them there. So the progress is read once more after that.
         """
-        if self._settled:
-            return
         waited_s = self._clock.read_monotonic_s() - self._term.taken_s
         unseen = [target_id for target_id in self._old_roster if self._is_unseen(target_id)]
         if (unseen or not self._old_roster_known) and waited_s < UNSEEN_LAPSE_S:
@@ -387,6 +392,7 @@
             return
         self._settled = True
         self.board.settle(self.board.jobs.values())
+        self._wake.set()
         log.info(
             'term %d: settled after %.2f s, %d targets not seen',
             self._term.epoch,
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -8,7 +8,7 @@
     choose_target,
     find_request,
 )
-from comfreywind.decisions.scheduling.work_order import JobStanding, find_turn
+from comfreywind.decisions.scheduling.work_order import FindTurn, JobStanding, find_turn
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.step import Step
@@ -33,8 +33,9 @@
 class Planner:
     """Starts of the tasks that wait on a board."""
 
-    def __init__(self, board: Board) -> None:
-        """Plan for this board."""
+    def __init__(self, board: Board, order_work: FindTurn = find_turn) -> None:
+        """Plan for this board, with jobs in the order of work that the function gives."""
+        self._order_work = order_work
         self._board = board
         self._advice: dict[tuple[str, int, int], Advice] = {}
         self._questions: list[AdviceQuestion] = []
@@ -84,7 +85,7 @@
         if not targets:
             return []
         orders: list[Order] = []
-        records.sort(key=lambda record: find_turn(self._describe(record), now_ms))
+        records.sort(key=lambda record: self._order_work(self._describe(record), now_ms))
         self._refused.clear()
         for record in records:
             orders.extend(self._start_waiting(record, targets, now_s))
--- /dev/null
+++ b/tests/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the lab."""
