Spread accepted jobs over 32 parts of the store; the term has a part of its own

Cause: a part takes transactions one after another, whatever the table. Accepted jobs and progress shared four parts, and the term shared the empty part with the registrations of all targets.

--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -7,9 +7,15 @@
 from comfreywind.jobs.job_codec import decode_progress, encode_job, encode_progress
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.progress import Progress
-from comfreywind.jobs.tables import CANCEL_SUFFIX, TABLE_INTAKE, TABLE_PROGRESS, find_part
+from comfreywind.jobs.tables import (
+    CANCEL_SUFFIX,
+    TABLE_INTAKE,
+    TABLE_PROGRESS,
+    find_intake_part,
+    find_progress_part,
+)
 from comfreywind.platform.rows_client import RowsClient
-from comfreywind.platform.stored_row import RowChange, StoredRow
+from comfreywind.platform.stored_row import RowChange
 
 CANCEL_ATTEMPTS = 8
 # Final states never change, so they need not be read again.
@@ -32,18 +38,15 @@
         Raises StoreRefusedError when nothing was written, and StoreUnavailableError when that is
         not known.
         """
-        changes = [
-            RowChange(TABLE_INTAKE, job.job_id, encode_job(job), 0),
-            RowChange(TABLE_PROGRESS, job.job_id, encode_progress(Progress()), 0),
-        ]
+        change = RowChange(TABLE_INTAKE, job.job_id, encode_job(job), 0)
         try:
-            return await self._insert(job.job_id, changes)
+            return await self._insert(change)
         except StoreRefusedError:
             raise
         except StoreUnavailableError as doubt:
             log.info('job %s: sent again, %s', job.job_id, doubt)
         try:
-            return await self._insert(job.job_id, changes)
+            return await self._insert(change)
         except StoreRefusedError as error:
             # The attempt before may have taken effect, so nothing may be said of the job.
             raise StoreUnavailableError(f'job {job.job_id}: {error}') from error
@@ -53,30 +56,30 @@
         known = self._final.get(job_id)
         if known is not None:
             return known
-        row = await self._read_progress(job_id)
-        if row.payload is None:
+        found = await self._find_progress(job_id)
+        if found is None:
             return None
-        state = decode_progress(row.payload).state
+        state = found[0].state
         self._note_state(job_id, state)
         return state
 
     async def cancel(self, job_id: str) -> JobState | None:
         """Cancel a job that is not final; return its state then, or None when there is none."""
         for _ in range(CANCEL_ATTEMPTS):
-            row = await self._read_progress(job_id)
-            if row.payload is None:
+            found = await self._find_progress(job_id)
+            if found is None:
                 return None
-            progress = decode_progress(row.payload)
+            progress, version = found
             if progress.state.final:
                 self._note_state(job_id, progress.state)
                 return progress.state
             progress.state = JobState.CANCELLED
             changes = [
-                RowChange(TABLE_PROGRESS, job_id, encode_progress(progress), row.version),
+                RowChange(TABLE_PROGRESS, job_id, encode_progress(progress), version),
                 RowChange(TABLE_INTAKE, f'{job_id}{CANCEL_SUFFIX}', b'cancelled'),
             ]
             try:
-                await self._rows.commit(find_part(job_id), changes)
+                await self._rows.commit(find_progress_part(job_id), changes)
             except RowsChangedError:
                 log.info('job %s: progress changed while it was being cancelled', job_id)
             else:
@@ -84,15 +87,23 @@
                 return JobState.CANCELLED
         raise StoreUnavailableError(f'job {job_id}: progress changes too fast to be cancelled')
 
-    async def _insert(self, job_id: str, changes: list[RowChange]) -> bool:
+    async def _insert(self, change: RowChange) -> bool:
         try:
-            await self._rows.commit(find_part(job_id), changes)
+            await self._rows.commit(find_intake_part(change.key), [change])
         except RowsChangedError:
             return False
         return True
 
-    async def _read_progress(self, job_id: str) -> StoredRow:
-        return await self._rows.read_row(TABLE_PROGRESS, find_part(job_id), job_id)
+    async def _find_progress(self, job_id: str) -> tuple[Progress, int] | None:
+        """Return the progress of a job and its version, or None when there is no such job.
+
+        A job has no progress row before its first change.
+        """
+        row = await self._rows.read_row(TABLE_PROGRESS, find_progress_part(job_id), job_id)
+        if row.payload is not None:
+            return decode_progress(row.payload), row.version
+        accepted = await self._rows.read_row(TABLE_INTAKE, find_intake_part(job_id), job_id)
+        return None if accepted.payload is None else (Progress(), 0)
 
     def _note_state(self, job_id: str, state: JobState) -> None:
         if not state.final:
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -27,6 +27,8 @@
 # A feed is answered after `wait_s` at the latest; the rest is for the network and a slow store.
 FEED_MARGIN_S = 1.5
 PAGE_ROWS = 500
+# A new holder reads all parts of its tables at the same time.
+CONNECTION_LIMIT = 48
 MS_PER_S = 1000
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -43,7 +45,7 @@
     ) -> None:
         """Prepare the clients; feeds have one of their own, because they wait for changes."""
         self._metrics = metrics or NoMetrics()
-        self._client = HttpClient(address, CALL_TIMEOUT_S)
+        self._client = HttpClient(address, CALL_TIMEOUT_S, CONNECTION_LIMIT)
         self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S)
         self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
         self._clock = clock
--- a/comfreywind/report/job_report.py
+++ b/comfreywind/report/job_report.py
@@ -10,7 +10,8 @@
     TABLE_TERM,
     TERM_KEY,
     TERM_PART,
-    find_part,
+    find_intake_part,
+    find_progress_part,
 )
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.scheduling.term_row import TermRow, decode_term
@@ -20,12 +21,13 @@
 
 async def read_job_report(rows: RowsClient, job_id: str) -> list[ReportRow]:
     """Return names and values that describe a job; raise JobMissingError when there is none."""
-    part = find_part(job_id)
-    job_row = await rows.read_row(TABLE_INTAKE, part, job_id)
-    progress_row = await rows.read_row(TABLE_PROGRESS, part, job_id)
-    if job_row.payload is None or progress_row.payload is None:
+    job_row = await rows.read_row(TABLE_INTAKE, find_intake_part(job_id), job_id)
+    progress_row = await rows.read_row(TABLE_PROGRESS, find_progress_part(job_id), job_id)
+    if job_row.payload is None:
         raise JobMissingError(f'no job {job_id} is stored')
-    return describe_job(decode_job(job_row.payload), decode_progress(progress_row.payload))
+    stored = progress_row.payload
+    progress = Progress() if stored is None else decode_progress(stored)
+    return describe_job(decode_job(job_row.payload), progress)
 
 
 async def read_holder_report(rows: RowsClient) -> list[ReportRow]:
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -11,13 +11,13 @@
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.tables import (
     CANCEL_SUFFIX,
-    JOB_PARTS,
+    HOLDER_PART,
+    INTAKE_PARTS,
+    PROGRESS_PARTS,
     ROSTER_KEY,
     TABLE_INTAKE,
     TABLE_PROGRESS,
     TABLE_TERM,
-    TERM_KEY,
-    TERM_PART,
 )
 from comfreywind.metrics import Metrics
 from comfreywind.platform.advice_client import AdviceClient
@@ -106,7 +106,7 @@
         intake = RowFeed(
             self._rows,
             TABLE_INTAKE,
-            JOB_PARTS,
+            (*INTAKE_PARTS, *PROGRESS_PARTS),
             self._take_intake,
             self._take_jobs,
             self._clock,
@@ -172,12 +172,12 @@
         await run_together((self._read_progress, self._read_roster, self._turns.load))
 
     async def _read_progress(self) -> None:
-        for page in await self._rows.read_parts(TABLE_PROGRESS, JOB_PARTS):
+        for page in await self._rows.read_parts(TABLE_PROGRESS, PROGRESS_PARTS):
             for row in page.rows:
                 self._note_old_progress(row)
 
     async def _read_roster(self) -> None:
-        self._take_old_roster(await self._rows.read_row(TABLE_TERM, TERM_PART, ROSTER_KEY))
+        self._take_old_roster(await self._rows.read_row(TABLE_TERM, HOLDER_PART, ROSTER_KEY))
 
     def _note_old_progress(self, row: StoredRow) -> None:
         if row.payload is None:
@@ -268,8 +268,8 @@
             return
         if row.key in self._unreadable_jobs:
             return
-        # The progress row of a new job was written in the same transaction.
-        progress, version = self._old_progress.pop(row.key, (Progress(), row.version))
+        # A job has no progress row before its first change.
+        progress, version = self._old_progress.pop(row.key, (Progress(), 0))
         new = row.version > self._term.taken_version
         self.board.add_job(job, progress, version, settled=new or self._settled)
         self._wake.set()
@@ -401,7 +401,7 @@
         )
 
     async def _join_progress(self) -> None:
-        for page in await self._rows.read_parts(TABLE_PROGRESS, JOB_PARTS):
+        for page in await self._rows.read_parts(TABLE_PROGRESS, PROGRESS_PARTS):
             for row in page.rows:
                 record = self.board.jobs.get(row.key)
                 if record is not None and row.version > record.progress_version:
@@ -432,7 +432,7 @@
             RowChange(TABLE_TERM, ROSTER_KEY, encode_roster(roster), self._roster_version),
         ]
         try:
-            self._roster_version = await self._rows.commit(TERM_PART, changes)
+            self._roster_version = await self._rows.commit(HOLDER_PART, changes)
         except RowsChangedError as error:
             self._note_roster(error.rows)
             return False
@@ -444,8 +444,6 @@
 
     def _note_roster(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
-            if row.key == TERM_KEY:
-                continue
             self._roster_version = row.version
             try:
                 self._stored_roster = decode_roster(row.payload)
--- a/comfreywind/scheduling/order_turns.py
+++ b/comfreywind/scheduling/order_turns.py
@@ -8,7 +8,7 @@
 from comfreywind.clock import Clock
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
 from comfreywind.jobs.job_codec import RowFormatError
-from comfreywind.jobs.tables import ORDERS_KEY, TABLE_TERM, TERM_PART
+from comfreywind.jobs.tables import ORDERS_KEY, TABLE_TERM, HOLDER_PART
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.scheduling.term_keeper import HeldTerm
@@ -40,7 +40,7 @@
 
     async def load(self) -> None:
         """Read what earlier holders ordered; raise StoreUnavailableError without an answer."""
-        self._take_row(await self._rows.read_row(TABLE_TERM, TERM_PART, ORDERS_KEY))
+        self._take_row(await self._rows.read_row(TABLE_TERM, HOLDER_PART, ORDERS_KEY))
         self._earlier = self._stored
 
     def is_over(self) -> bool:
@@ -61,7 +61,7 @@
         wanted = self._list_recent(now_s)
         change = RowChange(TABLE_TERM, ORDERS_KEY, encode_ordered_vms(wanted), self._version)
         try:
-            self._version = await self._rows.commit(TERM_PART, [change])
+            self._version = await self._rows.commit(HOLDER_PART, [change])
         except RowsChangedError as error:
             for row in error.rows:
                 self._take_row(row)
--- a/comfreywind/scheduling/progress_journal.py
+++ b/comfreywind/scheduling/progress_journal.py
@@ -7,14 +7,14 @@
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
 from comfreywind.jobs.job_codec import RowFormatError, decode_progress, encode_progress
 from comfreywind.jobs.job_state import JobState
-from comfreywind.jobs.tables import TABLE_PROGRESS, find_part
+from comfreywind.jobs.tables import TABLE_PROGRESS, find_progress_part
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.job_record import JobRecord
 
-# Ends that come within this time share a transaction.
-GATHER_S = 0.02
+# Ends that come within this time share a transaction of each part.
+GATHER_S = 0.04
 RETRY_S = 0.15
 # A transaction holds at most 100 entries, and each row needs two: its condition and its value.
 ROWS_PER_COMMIT = 50
@@ -74,15 +74,19 @@
         changed = self._board.take_changed()
         by_part: dict[str, list[JobRecord]] = {}
         for record in changed:
-            by_part.setdefault(find_part(record.job.job_id), []).append(record)
-        all_stored = True
-        for part, records in by_part.items():
+            by_part.setdefault(find_progress_part(record.job.job_id), []).append(record)
+        stored: list[bool] = []
+
+        async def store_part(part: str, records: list[JobRecord]) -> None:
             for start in range(0, len(records), ROWS_PER_COMMIT):
-                chunk = records[start : start + ROWS_PER_COMMIT]
-                all_stored = await self._store(part, chunk) and all_stored
-        if all_stored:
+                stored.append(await self._store(part, records[start : start + ROWS_PER_COMMIT]))
+
+        async with trio.open_nursery() as nursery:
+            for part, records in by_part.items():
+                nursery.start_soon(store_part, part, records)
+        if all(stored):
             self._acknowledge(applied)
-        return all_stored
+        return all(stored)
 
     async def _store(self, part: str, records: list[JobRecord]) -> bool:
         changes = [
--- a/comfreywind/stand_ins/jobs/store_app.py
+++ b/comfreywind/stand_ins/jobs/store_app.py
@@ -11,7 +11,7 @@
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.stand_ins.jobs.row_store import RowStore
-from comfreywind.stand_ins.jobs.store_faults import StoreFaults
+from comfreywind.stand_ins.jobs.store_faults import PART_BACKLOG_S, StoreFaults
 
 BODY_LIMIT_BYTES = 1_048_576
 MS_PER_S = 1000
@@ -25,6 +25,7 @@
         """Start empty and without faults."""
         self.store = RowStore()
         self.faults = StoreFaults()
+        self._free_s: dict[str, float] = {}
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
@@ -51,6 +52,9 @@
         expected = [(_name(row), int(row['schema_ver'])) for row in document['expected_rev']]
         changes = [(*_name(row), row['value']) for row in document['write']]
         changes.extend((*_name(row), None) for row in document['remove'])
+        if not await self._take_turn({change[1] for change in changes}):
+            await self._reply(send, 429, {})
+            return
         if not self.store.apply(expected, changes):
             rows = [self.store.describe(name) for name, _ in expected]
             await self._reply(send, 412, {'rows': rows})
@@ -60,6 +64,18 @@
             await trio.sleep_forever()
         await self._reply(send, 200, {})
 
+    async def _take_turn(self, parts: set[str]) -> bool:
+        """Wait for the transactions before; return False when too many wait in a part."""
+        now_s = trio.current_time()
+        free_s = max((self._free_s.get(part, now_s) for part in parts), default=now_s)
+        start_s = max(free_s, now_s)
+        if start_s - now_s > PART_BACKLOG_S:
+            return False
+        end_s = start_s + self.faults.transaction_s
+        self._free_s.update(dict.fromkeys(parts, end_s))
+        await trio.sleep_until(end_s)
+        return True
+
     def _read_range(self, query: Query) -> list[dict[str, Any]]:
         table, part = query['table_name'][0], query['part'][0]
         start = query.get('from', [''])[0]
--- a/tests/test_jobs_whole_path.py
+++ b/tests/test_jobs_whole_path.py
@@ -142,3 +142,23 @@
         await fleet.submit(0, JOB, 'fail', count=1)
         await fleet.wait_for_state(0, JOB, 'failed')
         assert len(fleet.log.starts) == 3
+
+
+async def test_burst_with_slow_store() -> None:
+    """Guards against jobs that are refused because all of them wait in a few parts of the store.
+
+    Seen on dewpa-sched-grown trouble-2: with a store 100 times slower 45 of 250 jobs were refused
+    and others held until their deadline, since four parts took two transactions a second each.
+    """
+    async with run_job_fleet(node_count=2, target_count=1) as fleet:
+        fleet.store.faults.transaction_s = 0.25
+        statuses: list[int] = []
+
+        async def submit(number: int) -> None:
+            statuses.append(await fleet.submit(number % 2, f'{number:016x}'))
+
+        with trio.fail_after(3):
+            async with trio.open_nursery() as nursery:
+                for number in range(32):
+                    nursery.start_soon(submit, number)
+        assert statuses == [200] * 32
