--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -5,6 +5,7 @@
 import trio
 
 from comfreywind.clock import Clock
+from comfreywind.decisions.scheduling.handover import may_settle
 from comfreywind.decisions.scheduling.pool_size import USUAL_POLICY
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
 from comfreywind.jobs.job_codec import RowFormatError, decode_job, decode_progress
@@ -383,7 +384,7 @@
         """
         waited_s = self._clock.read_monotonic_s() - self._term.taken_s
         unseen = [target_id for target_id in self._old_roster if self._is_unseen(target_id)]
-        if (unseen or not self._old_roster_known) and waited_s < UNSEEN_LAPSE_S:
+        if not may_settle(len(unseen), self._old_roster_known, waited_s, UNSEEN_LAPSE_S):
             return
         try:
             await self._join_progress()
