--- a/tests/test_jobs_command.py
+++ b/tests/test_jobs_command.py
@@ -52,3 +52,33 @@
         shown = await run_jobs('show', JOB, '--store', str(fleet.store_address))
         assert shown.exit_status is ExitStatus.REFUSED
         assert JOB in shown.stderr
+
+
+async def test_fleet_tables() -> None:
+    """Guards against an operator who can't see what waits, where it runs and what is due."""
+    async with run_job_fleet(node_count=1, target_count=2) as fleet:
+        store = str(fleet.store_address)
+        wave = {'rollout_wave': 4, 'machines': ['m-1', 'm-2'], 'cap': 1, 'duration_s': 30}
+        fleet.store.write_document('op', 'wave/4', wave)
+        await fleet.submit(0, JOB, 'work_s=5')
+        shown = {
+            subject: (await run_jobs(*subject, '--store', store)).stdout.splitlines()[1].split()
+            for subject in (('list', 'rebuild'), ('pools',), ('teams',), ('waves',))
+        }
+        assert shown['list', 'rebuild'][:2] == [JOB, 'crews']
+        assert shown['list', 'rebuild'][-3:] == ['0', 'of', '2']
+        assert shown['pools',] == ['crossings', 'working', '2', '0', '8.0']
+        assert shown['teams',] == ['crews', '10.0', 'none', '1']
+        assert shown['waves',] == ['4', '2', '0', '1', '30.0']
+
+
+async def test_ended_jobs_are_not_listed() -> None:
+    """Guards against a list that grows with all jobs that ever ran."""
+    async with run_job_fleet(node_count=1, target_count=1) as fleet:
+        store = str(fleet.store_address)
+        await fleet.submit(0, JOB)
+        await fleet.wait_for_state(0, JOB, 'complete')
+        shown = await run_jobs('list', 'rebuild', '--store', store)
+        assert JOB not in shown.stdout
+        unknown = await run_jobs('list', 'nowhere', '--store', store)
+        assert unknown.exit_status is ExitStatus.REFUSED
