--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -8,12 +8,15 @@
 
 from bench.caller import CallerReply
 from bench.fleet import wait_until
+from comfreywind.decisions.ejection import BASE_EJECTION_S, CONSECUTIVE_FAILURES
 from tests.helpers.fault_fleet import TEAM, FaultFleet, make_fault_plan, read_problem
 from tests.helpers.raw_caller import Stopwatch, call_raw, make_request, open_raw, read_to_end
 from tests.helpers.scripted_target import ScriptedTarget
 
 # An immediate answer on a busy machine; far below every deadline in these tests.
 AT_ONCE_S = 1.5
+# A target that failed is avoided for a second, and is then as likely to be chosen as any other.
+LONGEST_GAP_S = 5.0
 LARGE = 300_000
 HUGE = 16_000_000
 MALFORMED_ANSWERS = {
@@ -186,12 +189,24 @@
 
 
 def test_ejection(faults: FaultFleet) -> None:
-    """Guards against a target that fails everything and attracts work by being fast."""
+    """Guards against a target that fails everything and attracts work by being fast.
+
+    Failures in a row are a second apart, because a target that has just failed is avoided, so the
+    ejection comes after a time and not after a number of calls.
+    """
     bad_vm = faults.list_vms('crossings')[0]
     faults.set_target_faults(bad_vm, fail_all=True)
-    statuses = [faults.call('crossings', 'POST').status for _ in range(80)]
-    assert statuses.count(500) <= 10
-    assert set(statuses[-30:]) == {200}
+    statuses: list[int] = []
+    watch = Stopwatch()
+    while statuses.count(500) < CONSECUTIVE_FAILURES:
+        assert watch.read_s() < CONSECUTIVE_FAILURES * LONGEST_GAP_S
+        statuses.append(faults.call('crossings', 'POST').status)
+    assert set(statuses) == {200, 500}
+    ejected = Stopwatch()
+    later: list[int] = []
+    while ejected.read_s() < BASE_EJECTION_S - AT_ONCE_S:
+        later.append(faults.call('crossings', 'POST').status)
+    assert set(later) == {200}
     for vm in faults.list_vms('crossings'):
         faults.set_target_faults(vm, fail_all=True)
     wait_until(lambda: faults.call('crossings', 'POST').status == 500, 'a failure')
