--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -71,9 +71,12 @@
             await client.close()
 
     @asynccontextmanager
-    async def run_node(self, name: str) -> AsyncIterator[int]:
+    async def run_node(
+        self, name: str, metrics_address: Address | None = None
+    ) -> AsyncIterator[int]:
         """Run one more node until the block is left; give its number for calls."""
         ports = [Address(HOST, PORTS.find_free()) for _ in range(3)]
+        ports[2] = metrics_address or ports[2]
         node = Node(make_settings(name, ports, self.store_address), SystemClock())
         scope = trio.CancelScope()
         async with trio.open_nursery() as nursery:
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -6,6 +6,7 @@
 import trio
 
 from comfreywind.clock import Clock, SystemClock
+from comfreywind.errors import ListenError
 from comfreywind.exposed_metrics import ExposedMetrics
 from comfreywind.http.server import serve_app
 from comfreywind.intake.job_app import JobApp
@@ -77,8 +78,7 @@
                 serve_app, self._job_app, settings.caller_address, shutdown, GRACEFUL_S
             )
             servers.start_soon(serve_app, ready_app, settings.ready_address, shutdown, 0)
-            if settings.metrics_address is not None:
-                servers.start_soon(serve_app, self._metrics, settings.metrics_address, shutdown, 0)
+            servers.start_soon(self._serve_metrics, shutdown)
             await termination.wait()
             log.info('stopping: taken out of rotation')
             self._stopping = True
@@ -89,6 +89,16 @@
             shutdown.set()
         log.info('stopped')
 
+    async def _serve_metrics(self, shutdown: trio.Event) -> None:
+        address = self._settings.metrics_address
+        if address is None:
+            return
+        try:
+            await serve_app(self._metrics, address, shutdown, 0)
+        except ListenError as error:
+            # Jobs are served all the same: the platform deals out ports anew each day.
+            log.warning('metrics are not served: %s', error)
+
     async def _hold_terms(self) -> None:
         """Do the holder's work while this node has the term."""
         while True:
--- a/tests/test_exposed_metrics.py
+++ b/tests/test_exposed_metrics.py
@@ -37,3 +37,11 @@
     for name in ('calls_POST_200_total 1.0', 'starts_started_total 2.0', 'plan_seconds_count'):
         assert f'comfreywind_{name}' in shown
     assert 'comfreywind_store_calls_200_total' in shown
+
+
+async def test_metrics_port_in_use() -> None:
+    """Guards against a node that serves no jobs because its metrics port is taken."""
+    async with run_job_fleet(node_count=1, target_count=1) as fleet:
+        taken = fleet.metrics_addresses[0]
+        async with fleet.run_node('node-1', metrics_address=taken) as node:
+            assert await fleet.submit(node, '00000000000000c1') == 200
