Move no VM whose target has not answered this holder

Cause: since a successor orders moves at once, it could take a VM for idle whose target had not answered it yet or was silent, and the move ended lasting tasks. Ruled out: the turns of orders (one VM, two holders) and the health of steps, which the board knew right. Change: an idle VM is one whose target has answered and is not silent; an upkeep waits for an answer until all runs of an earlier holder have lapsed. tests/scheduling/test_pool_sizer.py failed before.

--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -39,7 +39,7 @@
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.row_feed import RowFeed
 from comfreywind.scheduling.rules_follower import RulesFollower
-from comfreywind.scheduling.target_link import LONGEST_WAIT_S, RUN_LEASE_S, TargetLink
+from comfreywind.scheduling.target_link import LONGEST_WAIT_S, UNSEEN_LAPSE_S, TargetLink
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.term_row import decode_roster, encode_roster
 from comfreywind.scheduling.upkeep_keeper import UpkeepKeeper
@@ -56,8 +56,6 @@
 SETTLE_INTERVAL_S = 0.03
 # A target that is gone may stay in the roster so long; that only delays a later holder.
 ROSTER_INTERVAL_S = 1.0
-# After this time every run of an earlier holder has lapsed, on a clock that is 2 % slow.
-UNSEEN_LAPSE_S = RUN_LEASE_S * 1.02 + 0.5
 MS_PER_S = 1000
 
 log = logging.getLogger('comfreywind.holder')
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -120,5 +120,7 @@
         record = self._board.targets.get(vm.target_id)
         if record is None:
             return standby
+        # What runs on a target that has not answered this holder is not known.
+        heard = record.reported and not record.silent
         busy = record.runs or record.emptying or record.entry.draining or record.leaving
-        return not busy
+        return heard and not busy
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -24,6 +24,8 @@
 # The clock of a target may be 2 % slow; the rest is for the way of the order.
 CLOCK_DRIFT_RATIO = 1.02
 LEASE_MARGIN_S = 0.4
+# After this time every run of an earlier holder has lapsed.
+UNSEEN_LAPSE_S = RUN_LEASE_S * CLOCK_DRIFT_RATIO + LEASE_MARGIN_S + 0.1
 LONGEST_WAIT_S = 1.0
 # A target without runs is looked at less often; only its lists after a silence matter.
 IDLE_LOOK_S = 2.5
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -26,6 +26,8 @@
 from comfreywind.scheduling.order_turns import OrderTurns
 from comfreywind.scheduling.orders import Order
 from comfreywind.scheduling.rules_follower import RulesFollower
+from comfreywind.scheduling.target_link import UNSEEN_LAPSE_S
+from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.upkeep_row import UPKEEP_KEY, decode_upkeep, encode_upkeep
 from comfreywind.scheduling.vm_order import VmOrder
@@ -235,10 +237,16 @@
             emptying=since_s is not None,
             emptying_for_s=0 if since_s is None else now_s - since_s,
             work=work,
-            blocked=is_blocked(vm.target_id, health),
+            blocked=self._is_unheard(record, now_s) or is_blocked(vm.target_id, health),
             serves=any(step.limit for step in health),
         )
 
+    def _is_unheard(self, record: TargetRecord | None, now_s: float) -> bool:
+        """Return whether the target may have runs of an earlier holder that are not known here."""
+        if record is None or record.reported:
+            return False
+        return now_s - self._term.taken_s < UNSEEN_LAPSE_S
+
     async def _order(self, wave: UpkeepWave, vm: Vm, orders: dict[str, VmOrder]) -> None:
         if not self._keeper.is_valid():
             return
--- /dev/null
+++ b/tests/scheduling/test_pool_sizer.py
@@ -0,0 +1,54 @@
+"""Which VMs move between pools, from the board and the list of VMs."""
+
+import pytest
+
+from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
+from comfreywind.decisions.scheduling.pool_size import VmMove
+from comfreywind.jobs.pool import Pool
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.vm import Vm
+from comfreywind.scheduling.pool_sizer import PoolSizer
+from tests.helpers.board_rig import POOL, BoardRig
+
+POOLS = (Pool(POOL), Pool('standby', standby=True))
+VMS = {
+    f'vm{number}': Vm(
+        f'vm{number}', POOL, True, 'dc', frozenset(), Resources(4000, 10_000), f't{number}'
+    )
+    for number in range(4)
+}
+POLICY = PoolPolicy(base_part=0, spare_vms=0, smallest_pool=1, shrink_after_s=1)
+
+
+def choose_later(sizer: PoolSizer, rig: BoardRig) -> list[VmMove]:
+    """Return the moves once the pool has had too many VMs for long enough."""
+    sizer.choose(POOLS, VMS, rig.now_s)
+    rig.now_s += POLICY.shrink_after_s
+    return sizer.choose(POOLS, VMS, rig.now_s)
+
+
+def test_idle_vms_move() -> None:
+    """Guards against idle VMs that are paid for."""
+    rig = BoardRig(targets=4)
+    assert len(choose_later(PoolSizer(rig.board, POLICY), rig)) == 3
+
+
+@pytest.mark.parametrize('field', ['reported', 'silent'])
+def test_unheard_targets_stay(field: str) -> None:
+    """Guards against a move that ends tasks which this holder does not know of.
+
+    Seen on prevoz-plan holder-and-store with seed 652107374108 (AVAIL): since a successor orders
+    moves at once, it took targets for idle that had not answered it yet.
+    """
+    rig = BoardRig(targets=4)
+    for target in ('t0', 't1'):
+        setattr(rig.board.targets[target], field, field == 'silent')
+    moved = {move.vm for move in choose_later(PoolSizer(rig.board, POLICY), rig)}
+    assert moved.isdisjoint({'vm0', 'vm1'})
+
+
+def test_closed_vms_stay() -> None:
+    """Guards against a move of a VM that an earlier holder may have ordered just before."""
+    rig = BoardRig(targets=4)
+    sizer = PoolSizer(rig.board, POLICY, is_open=lambda vm: vm == 'vm3')
+    assert choose_later(sizer, rig) == [VmMove('vm3', 'standby')]
