Skip an order whose VM has left the list while it was announced

Cause: the announcement of orders waits for the store, and the list of VMs may be read anew meanwhile; a VM that is gone ended the holder with a KeyError.

--- a/comfreywind/scheduling/pool_keeper.py
+++ b/comfreywind/scheduling/pool_keeper.py
@@ -72,8 +72,9 @@
                 nursery.start_soon(self._order, move)
 
     async def _order(self, move: VmMove) -> None:
-        vm = self._watch.vms[move.vm]
-        if not self._keeper.is_valid():
+        # The list may have been read anew since the move was chosen, without this VM.
+        vm = self._watch.vms.get(move.vm)
+        if vm is None or not self._keeper.is_valid():
             return
         if not self._sizer.begin(vm, move.pool, self._clock.read_monotonic_s()):
             return
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -190,8 +190,13 @@
         for vm in waiting:
             if len(orders) < wave.limit and vm.name in ready:
                 await self._order_if_empty(wave, vm, orders, left_s)
-        for name in repeated:
-            await self._order(wave, self._watch.vms[name], orders)
+        # The list may have been read anew while the orders were announced, without some VMs.
+        listed = [self._watch.vms[name] for name in repeated if name in self._watch.vms]
+        await self._repeat(wave, listed, orders)
+
+    async def _repeat(self, wave: UpkeepWave, vms: list[Vm], orders: dict[str, VmOrder]) -> None:
+        for vm in vms:
+            await self._order(wave, vm, orders)
 
     def _is_ready(self, vm: Vm, left_s: float) -> bool:
         """Return whether the VM may go down now; have it emptied where that is in the way."""
