Bound what one job may hold

Cause: repeat_count of 1,000,000,000 was accepted and the holder built all occurrences in memory; numbers of 30 digits passed validation and raised OverflowError when the row was encoded. Each holder in turn would die. Ruled out: making occurrences lazily, because the ends of all tasks have to fit into one row of the store. Now a job has at most 5,000 tasks over all occurrences, 256 steps and a row that the store takes; every number and text is bounded; a 400 names the field. A stored row beyond the limits costs its own job only.

--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -140,7 +140,9 @@
     async def _accept(self, job_id: str, team: str, queue: Queue, body: bytes) -> Reply:
         accepted_ms = int(self._clock.read_utc().timestamp() * MS_PER_S)
         try:
-            job = decode_job_request(body, job_id, team, queue, accepted_ms)
+            job = decode_job_request(
+                body, job_id, team, queue, accepted_ms, self._store.row_limit_bytes
+            )
         except JobRequestError as error:
             return Reply(400, {'error': str(error)})
         new = await self._store.accept(job)
--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -27,9 +27,10 @@
 class JobStore:
     """Accepts, reads and cancels jobs with conditional writes."""
 
-    def __init__(self, rows: RowsClient) -> None:
-        """Use the store's client."""
+    def __init__(self, rows: RowsClient, row_limit_bytes: int) -> None:
+        """Use the store's client; the store refuses longer rows than `row_limit_bytes`."""
         self._rows = rows
+        self.row_limit_bytes = row_limit_bytes
         self._final: dict[str, JobState] = {}
 
     async def accept(self, job: Job) -> bool:
--- a/comfreywind/jobs/job_codec.py
+++ b/comfreywind/jobs/job_codec.py
@@ -6,6 +6,7 @@
 import msgpack
 
 from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_limits import find_excess
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.queue import Queue
@@ -28,9 +29,17 @@
     """Return the job of a row; raise RowFormatError when it can't be read."""
     row = _unpack(value)
     try:
-        return _make_job(*row[1:])
+        job, excess = _check_job(_make_job(*row[1:]))
     except (TypeError, ValueError) as error:
         raise RowFormatError(f'row of a job: {error}') from error
+    if excess is not None:
+        raise RowFormatError(f'row of a job: {excess}')
+    return job
+
+
+def _check_job(job: Job) -> tuple[Job, str | None]:
+    """Return the job and which limit it is beyond; raise TypeError for fields of another type."""
+    return job, find_excess(job)
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -42,9 +42,8 @@
         self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock, self._metrics)
         self._rules = RulesFollower(self._rows, clock)
         self._keeper = TermKeeper(self._rows, settings.name, clock, settings.cores)
-        self._job_app = JobApp(
-            self._rules, JobStore(self._rows), self._keeper, clock, self._metrics
-        )
+        store = JobStore(self._rows, settings.store_limits.row_bytes)
+        self._job_app = JobApp(self._rules, store, self._keeper, clock, self._metrics)
         self._stopping = False
 
     async def run(self) -> None:
--- a/comfreywind/platform/caller_codec.py
+++ b/comfreywind/platform/caller_codec.py
@@ -6,6 +6,15 @@
 
 from comfreywind.errors import JobRequestError
 from comfreywind.jobs.job import Job
+from comfreywind.jobs.job_codec import encode_job
+from comfreywind.jobs.job_limits import (
+    AMOUNT_LIMIT,
+    STEP_LIMIT,
+    TASK_LIMIT,
+    TEXT_LIMIT_CHARACTERS,
+    TIME_LIMIT_MS,
+    find_excess,
+)
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.queue import Queue
 from comfreywind.jobs.resources import Resources
@@ -25,38 +34,40 @@
 class _Step(BaseModel):
     model_config = ConfigDict(extra='ignore', frozen=True)
 
-    count: int = Field(default=1, ge=1, le=100_000)
-    cpu: int = Field(default=0, ge=0)
-    mem_mb: int = Field(default=0, ge=0)
-    gpu: int = Field(default=0, ge=0)
-    estimate_ms: int = Field(default=0, ge=0)
-    after: list[int] = Field(default_factory=list)
+    count: int = Field(default=1, ge=1, le=TASK_LIMIT)
+    cpu: int = Field(default=0, ge=0, le=AMOUNT_LIMIT)
+    mem_mb: int = Field(default=0, ge=0, le=AMOUNT_LIMIT)
+    gpu: int = Field(default=0, ge=0, le=AMOUNT_LIMIT)
+    estimate_ms: int = Field(default=0, ge=0, le=AMOUNT_LIMIT)
+    after: list[int] = Field(default_factory=list, max_length=STEP_LIMIT)
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
-    required_label: str = ''
-    affinity: str = ''
-    max_per_server: int = Field(default=0, ge=0)
+    required_label: str = Field(default='', max_length=TEXT_LIMIT_CHARACTERS)
+    affinity: str = Field(default='', max_length=TEXT_LIMIT_CHARACTERS)
+    max_per_server: int = Field(default=0, ge=0, le=AMOUNT_LIMIT)
     speculative: bool = False
     long_running: bool = False
-    image: str = ''
-    target_ms: int = Field(default=0, ge=0)
+    image: str = Field(default='', max_length=TEXT_LIMIT_CHARACTERS)
+    target_ms: int = Field(default=0, ge=0, le=AMOUNT_LIMIT)
     # Despite its name a flag: the step takes what others leave.
     fill_count: bool | int = False
-    max_unavailable: int = Field(default=0, ge=0)
+    max_unavailable: int = Field(default=0, ge=0, le=AMOUNT_LIMIT)
 
 
 class _JobRequest(BaseModel):
     model_config = ConfigDict(extra='ignore', frozen=True)
 
     spec: str = Field(default='', max_length=SPEC_LIMIT)
-    steps: list[_Step] = Field(min_length=1)
-    repeat_count: int = Field(default=0, ge=0)
-    start_at_ms: int = Field(default=0, ge=0)
-    interval_ms: int = Field(default=0, ge=0)
+    steps: list[_Step] = Field(min_length=1, max_length=STEP_LIMIT)
+    repeat_count: int = Field(default=0, ge=0, le=TASK_LIMIT)
+    start_at_ms: int = Field(default=0, ge=0, le=TIME_LIMIT_MS)
+    interval_ms: int = Field(default=0, ge=0, le=TIME_LIMIT_MS)
 
 
-def decode_job_request(body: bytes, job_id: str, team: str, queue: Queue, accepted_ms: int) -> Job:
+def decode_job_request(
+    body: bytes, job_id: str, team: str, queue: Queue, accepted_ms: int, row_limit_bytes: int
+) -> Job:
     """Return the job of a request body; raise JobRequestError naming what is wrong in it."""
     try:
         request = _JobRequest.model_validate_json(body)
@@ -65,7 +76,7 @@
         raise JobRequestError(f'the job is not valid: {reasons}') from error
     steps = tuple(map(_decode_step, request.steps))
     _check_order(steps)
-    return Job(
+    job = Job(
         job_id=job_id,
         team=team,
         queue=queue,
@@ -76,6 +87,19 @@
         first_due_ms=request.start_at_ms,
         interval_ms=request.interval_ms,
     )
+    _check_size(job, row_limit_bytes)
+    return job
+
+
+def _check_size(job: Job, row_limit_bytes: int) -> None:
+    """Refuse a job that could not be scheduled or whose row the store would refuse."""
+    excess = find_excess(job)
+    if excess is not None:
+        raise JobRequestError(f'the job is too large: {excess}')
+    # The store counts the encoded value, a third longer.
+    size_bytes = len(encode_job(job)) * 4 // 3
+    if size_bytes > row_limit_bytes:
+        raise JobRequestError(f'the job takes {size_bytes} bytes of {row_limit_bytes}')
 
 
 def _join(location: tuple[int | str, ...]) -> str:
--- /dev/null
+++ b/tests/test_job_limits.py
@@ -0,0 +1,134 @@
+"""Jobs that ask for more than one job may hold: one caller must not be able to stop the fleet.
+
+Pattern: admission limits at the border, with a reason that names the field.
+"""
+
+import json
+import tracemalloc
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreywind.errors import JobRequestError
+from comfreywind.jobs.job_codec import decode_job, encode_job
+from comfreywind.jobs.row_format import RowFormatError
+from comfreywind.platform.caller_codec import decode_job_request
+from tests.helpers.board_rig import JOB_ID, QUEUE, STEP, TEAM, BoardRig, make_job
+
+HUGE = 10**30
+MEMORY_LIMIT_BYTES = 4_000_000
+ROW_LIMIT_BYTES = 65_536
+
+
+def decode(document: object) -> None:
+    """Decode a request, as the callers' side does, and encode its row."""
+    body = json.dumps(document).encode()
+    encode_job(decode_job_request(body, JOB_ID, TEAM, QUEUE, 1, ROW_LIMIT_BYTES))
+
+
+@pytest.mark.parametrize(
+    ('field', 'document'),
+    [
+        ('repeat_count', {'steps': [{'count': 1}], 'repeat_count': 1_000_000_000}),
+        ('repeat_count', {'steps': [{'count': 3}] * 2, 'repeat_count': 4_000}),
+        ('steps', {'steps': [{'count': 100_000}] * 3_000}),
+        ('steps.0.count', {'steps': [{'count': 100_000}]}),
+        ('steps.0.cpu', {'steps': [{'cpu': HUGE}]}),
+        ('steps.0.mem_mb', {'steps': [{'mem_mb': HUGE}]}),
+        ('steps.0.gpu', {'steps': [{'gpu': HUGE}]}),
+        ('steps.0.estimate_ms', {'steps': [{'estimate_ms': HUGE}]}),
+        ('steps.0.target_ms', {'steps': [{'target_ms': HUGE}]}),
+        ('steps.0.max_per_server', {'steps': [{'max_per_server': HUGE}]}),
+        ('steps.0.max_unavailable', {'steps': [{'max_unavailable': HUGE}]}),
+        ('interval_ms', {'steps': [{}], 'interval_ms': HUGE, 'repeat_count': 2}),
+        ('start_at_ms', {'steps': [{}], 'start_at_ms': HUGE, 'repeat_count': 2}),
+        ('steps.0.affinity', {'steps': [{'affinity': 'r' * 1_000}]}),
+        ('steps.1.after', {'steps': [{}, {'after': [0] * 50_000}]}),
+        ('bytes', {'steps': [{'image': 'i' * 200, 'affinity': 'r' * 200}] * 200}),
+    ],
+)
+def test_refused_with_field(field: str, document: object) -> None:
+    """Guards against a job of a few bytes that fills the memory of each holder in turn."""
+    with pytest.raises(JobRequestError, match=field):
+        decode(document)
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        {'steps': [{'count': 24, 'long_running': True}]},
+        {'steps': [{'count': 1_000}, {'count': 1_000, 'after': [0]}]},
+        {'steps': [{'count': 2}], 'repeat_count': 500, 'start_at_ms': 1, 'interval_ms': 1_000},
+        {'spec': 's' * 4_000, 'steps': [{'count': 1}] * 20},
+    ],
+)
+def test_usual_jobs(document: object) -> None:
+    """Guards against limits that refuse what the users hand in."""
+    decode(document)
+
+
+@pytest.mark.parametrize(
+    'fields', [{'occurrence_count': 1_000_000_000}, {'steps': (STEP,) * 2_000}]
+)
+def test_stored_beyond_limit(fields: dict[str, object]) -> None:
+    """Guards against a row stored before the limits, which ends each holder that reads it."""
+    row = encode_job(make_job(**fields))
+    tracemalloc.start()
+    try:
+        with pytest.raises(RowFormatError):
+            decode_job(row)
+        assert tracemalloc.get_traced_memory()[1] < MEMORY_LIMIT_BYTES
+    finally:
+        tracemalloc.stop()
+
+
+def test_largest_job_is_planned() -> None:
+    """Guards against a limit that still lets one job hold up the holder's loop."""
+    rig = BoardRig()
+    rig.add_job(make_job(occurrence_count=5_000, interval_ms=1, first_due_ms=1))
+    assert rig.plan()
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(('spec', 'steps', 'count', 'cpu', 'after', 'repeat_count', 'affinity')),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(JSON)
+def test_any_json(document: object) -> None:
+    """Guards against an error that callers don't get an answer for."""
+    try:
+        decode(document)
+    except JobRequestError:
+        return
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=200))
+def test_any_bytes(body: bytes) -> None:
+    """Guards against an error that callers don't get an answer for."""
+    try:
+        decode_job_request(body, JOB_ID, TEAM, QUEUE, 1, ROW_LIMIT_BYTES)
+    except JobRequestError:
+        return
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=200))
+def test_any_row(row: bytes) -> None:
+    """Guards against an error of another type than the one that the holder handles."""
+    try:
+        decode_job(b'\x97\x01' + row)
+    except RowFormatError:
+        return
