Choose the target of a start by an ordered index

Orders then time out after 0.8 s, their connections are opened again, and the targets' runs are stopped and started anew. Ruled out: the platform's limit of moves (310 a second) and the store (3,200 writes): neither was reached. Targets that may start are indexed by free processor time once a plan; a start looks at 2 of them at most when nothing speaks against the first. Waiting tasks are a dict, as taking one out of a list of thousands was a scan.

--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -330,7 +330,7 @@
         record = self.jobs.get(key.job_id)
         if record is None or not record.may_wait(key):
             return
-        record.waiting.append(key)
+        record.waiting[key] = None
 
     def _is_lasting(self, key: TaskKey) -> bool:
         record = self.jobs.get(key.job_id)
@@ -389,8 +389,7 @@
             )
 
     def _note_done(self, record: JobRecord, key: TaskKey) -> None:
-        if key in record.waiting:
-            record.waiting.remove(key)
+        record.waiting.pop(key, None)
         if record.open and record.is_complete():
             record.progress.state = JobState.COMPLETE
             self._close_job(record)
@@ -444,8 +443,7 @@
         step = record.job.steps[key.step]
         self.add_run(_make_adopted(target, key, run_id, now_s, step, record.job.team), record)
         record.last_run_ids[key] = max(run_id, record.last_run_ids.get(key, 0))
-        if key in record.waiting:
-            record.waiting.remove(key)
+        record.waiting.pop(key, None)
         return []
 
     def _pace_fillers(self, target: TargetRecord) -> list[Order]:
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -11,7 +11,7 @@
 
 @dataclass(slots=True)
 class JobRecord:
-    """An open or finished job; `waiting` holds the tasks whose turn has come.
+    """An open or finished job; `waiting` holds the tasks whose turn has come, in order.
 
     `settled` is false while a run of an earlier holder may exist that this one has not seen.
     """
@@ -21,7 +21,7 @@
     progress_version: int
     settled: bool
     excess: bool = False
-    waiting: list[TaskKey] = field(default_factory=list)
+    waiting: dict[TaskKey, None] = field(default_factory=dict)
     runs: dict[TaskKey, RunRecord] = field(default_factory=dict)
     last_run_ids: dict[TaskKey, int] = field(default_factory=dict)
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
@@ -67,8 +67,7 @@
             self.left_in_step[occurrence, step] -= 1
             self.unlock_due = True
             key = TaskKey(self.job.job_id, occurrence, step, number)
-            if key in self.waiting:
-                self.waiting.remove(key)
+            self.waiting.pop(key, None)
         for task, run_ids in stored.failures.items():
             self.progress.failures.setdefault(task, set()).update(run_ids)
 
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -1,13 +1,9 @@
 """Decides from the board which tasks start now, and on which targets."""
 
-from collections.abc import Iterable
-
-from comfreywind.decisions.scheduling.placement import (
-    TargetRoom,
-    choose_rack,
-    choose_target,
-    find_request,
-)
+from collections.abc import Collection, Iterable, Mapping
+
+from comfreywind.decisions.scheduling.placement import TargetRoom, choose_rack, find_request
+from comfreywind.decisions.scheduling.room_index import NO_COUNTS, RoomIndex
 from comfreywind.decisions.scheduling.work_order import FindTurn, JobStanding, find_turn
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
@@ -40,6 +36,8 @@
         self._advice: dict[tuple[str, int, int], Advice] = {}
         self._questions: list[AdviceQuestion] = []
         self._refused: list[Resources] = []
+        self._rooms = RoomIndex(())
+        self._now_s = float('-inf')
 
     def plan(self, now_s: float, now_ms: float) -> list[Order]:
         """Return the starts that can be ordered now."""
@@ -84,11 +82,13 @@
         ]
         if not targets:
             return []
+        self._now_s = now_s
+        self._rooms = RoomIndex(map(_describe_room, targets))
         orders: list[Order] = []
         records.sort(key=lambda record: self._order_work(self._describe(record), now_ms))
         self._refused.clear()
         for record in records:
-            orders.extend(self._start_waiting(record, targets, now_s))
+            orders.extend(self._start_waiting(record, targets))
         return orders
 
     def _describe(self, record: JobRecord) -> JobStanding:
@@ -102,38 +102,36 @@
             remaining_ms=record.remaining_ms,
         )
 
-    def _start_waiting(
-        self, record: JobRecord, targets: list[TargetRecord], now_s: float
-    ) -> list[Order]:
+    def _start_waiting(self, record: JobRecord, targets: list[TargetRecord]) -> list[Order]:
         by_step: dict[tuple[int, int], list[TaskKey]] = {}
         for key in record.waiting:
             by_step.setdefault((key.occurrence, key.step), []).append(key)
         orders: list[Order] = []
         for step_key, keys in by_step.items():
-            allowed = self._filter_approved(record, step_key, targets, now_s)
+            allowed = self._find_approved(record, step_key, targets)
             if record.job.steps[step_key[1]].gang:
-                orders.extend(self._start_gang(record, keys, allowed, now_s))
+                orders.extend(self._start_gang(record, keys, allowed))
             else:
-                orders.extend(self._start_tasks(record, keys, allowed, now_s))
+                orders.extend(self._start_tasks(record, keys, allowed))
         if orders and record.progress.state is JobState.QUEUED:
             record.progress.state = JobState.RUNNING
             self._board.mark_changed(record)
         return orders
 
     def _start_tasks(
-        self, record: JobRecord, keys: list[TaskKey], targets: list[TargetRecord], now_s: float
+        self, record: JobRecord, keys: list[TaskKey], allowed: Collection[str] | None
     ) -> list[Order]:
         orders: list[Order] = []
         for key in keys:
             run_id = self._find_run_id(record, [key])
-            order = self._start_task(record, key, run_id, targets, now_s)
+            order = self._start_task(record, key, run_id, allowed)
             if order is None:
                 break
             orders.append(order)
         return orders
 
     def _start_gang(
-        self, record: JobRecord, keys: list[TaskKey], targets: list[TargetRecord], now_s: float
+        self, record: JobRecord, keys: list[TaskKey], allowed: Collection[str] | None
     ) -> list[Order]:
         """Start all tasks of a gang with one run id, or none.
 
@@ -143,14 +141,12 @@
         step = record.job.steps[keys[0].step]
         if len(keys) < step.task_count:
             return []
-        rooms = [self._describe_room(target, NO_TARGETS, {}) for target in targets]
-        rack = choose_rack(step, rooms) if step.same_rack else None
-        within = [target for target in targets if rack is None or rack in target.entry.labels]
+        within = self._narrow_to_rack(step, allowed) if step.same_rack else allowed
         run_id = self._find_run_id(record, keys)
         refused_before = len(self._refused)
         orders: list[StartOrder] = []
         for key in keys:
-            order = self._start_task(record, key, run_id, within, now_s)
+            order = self._start_task(record, key, run_id, within)
             if order is None:
                 self._take_back(record, orders)
                 # The room that the members took is free again for others.
@@ -165,32 +161,27 @@
             record.last_run_ids[order.key] = order.run_id - 1
             self._board.forget_run(record.runs[order.key])
             self._board.requeue(order.key)
+            self._note_room(order.target_id)
 
     def _start_task(
         self,
         record: JobRecord,
         key: TaskKey,
         run_id: int,
-        targets: list[TargetRecord],
-        now_s: float,
+        allowed: Collection[str] | None,
     ) -> StartOrder | None:
         step = record.job.steps[key.step]
         if self._is_refused(step) or not self._is_below_ceiling(record.job.team, step.request):
             return None
         avoided = record.failed_on.get(key, NO_TARGETS)
         spread = step.target_limit or step.unavailable_limit
-        same_step = self._count_same_step(record, key) if spread else {}
-        # Each start may change whether a target takes another: one that failed gets one task.
-        rooms = (
-            self._describe_room(target, avoided, same_step, shy=step.filler)
-            for target in targets
-            if target.may_start(now_s)
-        )
-        room = choose_target(step, rooms)
+        same_step = self._count_same_step(record, key) if spread else NO_COUNTS
+        room = self._rooms.choose(step, avoided, same_step, allowed)
         if room is None:
             self._note_refused(step, bool(record.job.queue.advice_validity_ms))
             return None
-        self._add_run(record, key, run_id, room.target_id, now_s)
+        self._add_run(record, key, run_id, room.target_id)
+        self._note_room(room.target_id)
         advice = self._advice.get((key.job_id, key.occurrence, key.step))
         return StartOrder(
             room.target_id,
@@ -212,34 +203,22 @@
         if not narrowed and not queue_is_advised:
             self._refused.append(find_request(step))
 
-    def _describe_room(
-        self,
-        target: TargetRecord,
-        avoided: Iterable[str],
-        same_step: dict[str, int],
-        shy: bool = False,
-    ) -> TargetRoom:
-        """Describe a target; whether it serves users matters only to shy tasks, the fillers."""
-        target_id = target.entry.target_id
-        return TargetRoom(
-            target_id,
-            target.free,
-            target.entry.labels,
-            same_step.get(target_id, 0),
-            target_id in avoided,
-            serving=shy and any(run.tail_limit_ms for run in target.runs.values()),
-        )
+    def _note_room(self, target_id: str) -> None:
+        """Take in that a target has more or less room, or takes no further task."""
+        target = self._board.targets[target_id]
+        if target.may_start(self._now_s):
+            self._rooms.replace(_describe_room(target))
+        else:
+            self._rooms.remove(target_id)
 
     def _find_run_id(self, record: JobRecord, keys: list[TaskKey]) -> int:
         first = (self._board.epoch - 1) * RUNS_PER_TERM
         return 1 + max(record.last_run_ids.get(key, first) for key in keys)
 
-    def _add_run(
-        self, record: JobRecord, key: TaskKey, run_id: int, target_id: str, now_s: float
-    ) -> None:
+    def _add_run(self, record: JobRecord, key: TaskKey, run_id: int, target_id: str) -> None:
         step = record.job.steps[key.step]
         record.last_run_ids[key] = run_id
-        record.waiting.remove(key)
+        del record.waiting[key]
         run = RunRecord(
             key,
             run_id,
@@ -248,33 +227,30 @@
             find_request(step),
             step.request,
             RunState.STARTING,
-            now_s,
-            now_s,
+            self._now_s,
+            self._now_s,
             tail_limit_ms=step.tail_limit_ms,
             filler=step.filler,
             lasting=step.lasting,
         )
         self._board.add_run(run, record)
 
-    def _filter_approved(
-        self,
-        record: JobRecord,
-        step_key: tuple[int, int],
-        targets: list[TargetRecord],
-        now_s: float,
-    ) -> list[TargetRecord]:
-        """Return the targets with a valid ticket, and note the question for the others."""
+    def _find_approved(
+        self, record: JobRecord, step_key: tuple[int, int], targets: list[TargetRecord]
+    ) -> Collection[str] | None:
+        """Return the targets with a valid ticket, and note the question for the others.
+
+        Returns None when the queue asks for no advice.
+        """
         if not record.job.queue.advice_validity_ms:
-            return targets
+            return None
         occurrence, number = step_key
         job_id = record.job.job_id
         advice = self._advice.setdefault((job_id, occurrence, number), Advice())
         named = tuple(target.entry.target_id for target in targets)[:TARGETS_PER_QUESTION]
-        if _needs_question(advice, named, now_s):
+        if _needs_question(advice, named, self._now_s):
             self._questions.append(AdviceQuestion(job_id, occurrence, number, named))
-        if now_s >= advice.valid_until_s:
-            return []
-        return [target for target in targets if target.entry.target_id in advice.tickets]
+        return NO_TARGETS if self._now_s >= advice.valid_until_s else advice.tickets.keys()
 
     def _unlock_steps(self, record: JobRecord, now_ms: float) -> None:
         for step_key in record.find_unlocked(now_ms):
@@ -290,7 +266,17 @@
         total = self._board.team_use.get(team_name, NO_RESOURCES).add(request)
         return total.is_within(team.ceiling)
 
-    def _count_same_step(self, record: JobRecord, key: TaskKey) -> dict[str, int]:
+    def _narrow_to_rack(
+        self, step: Step, allowed: Collection[str] | None
+    ) -> Collection[str] | None:
+        """Return the allowed targets of a rack with room for all tasks, if there is one."""
+        rooms = [room for room in self._rooms if allowed is None or room.target_id in allowed]
+        rack = choose_rack(step, rooms)
+        if rack is None:
+            return allowed
+        return {room.target_id for room in rooms if rack in room.labels}
+
+    def _count_same_step(self, record: JobRecord, key: TaskKey) -> Mapping[str, int]:
         counts: dict[str, int] = {}
         for run in record.runs.values():
             if (run.key.occurrence, run.key.step) == (key.occurrence, key.step):
@@ -298,5 +284,14 @@
         return counts
 
 
+def _describe_room(target: TargetRecord) -> TargetRoom:
+    return TargetRoom(
+        target.entry.target_id,
+        target.free,
+        target.entry.labels,
+        serving=any(run.tail_limit_ms for run in target.runs.values()),
+    )
+
+
 def _needs_question(advice: Advice, target_ids: tuple[str, ...], now_s: float) -> bool:
     return now_s >= advice.valid_until_s or not advice.asked.issuperset(target_ids)
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -108,7 +108,7 @@
             while rig.board.targets['t0'].runs:
                 await trio.sleep(0.1)
         nursery.cancel_scope.cancel()
-    assert rig.board.jobs[order.key.job_id].waiting == [order.key]
+    assert list(rig.board.jobs[order.key.job_id].waiting) == [order.key]
 
 
 async def test_lease_outlasts_silence(autojump_clock: trio.testing.MockClock) -> None:
