Keep an unexpected error from ending more than its own piece of work

Cause: an end that a target listed for a step that a known job does not have raised IndexError in the board; that ended the nursery of the holder and with it the node, and each later holder in turn, as targets list ends again. The same for a report with Infinity, and for any error in a keeper, a feed or an order. Ends of no task are skipped with a log line; feeds skip the row, the planner sets the job aside, an order counts as one without an answer, a report as silence; tasks are started again after a second, a holder that fails gives its term up. Ruled out: a second holder under the same term, because its run ids would be given out again.

--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -17,9 +17,10 @@
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.scheduling.holder import Holder
 from comfreywind.scheduling.rules_follower import RulesFollower
-from comfreywind.scheduling.term_keeper import TermKeeper
+from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.settings.node import NodeSettings
 from comfreywind.signals import set_on_termination
+from comfreywind.supervision import supervise
 
 # A feed that waits is confirmed when it is answered, so the wait bounds how old the rules may be.
 FEED_WAIT_S = 0.7
@@ -58,9 +59,12 @@
     async def run_parts(self, termination: trio.Event) -> None:
         """Run until `termination` is set, without a look at signals."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._rules.run)
-            nursery.start_soon(self._keeper.run)
-            nursery.start_soon(self._hold_terms)
+            for name, work in (
+                ('rules', self._rules.run),
+                ('term', self._keeper.run),
+                ('holder', self._hold_terms),
+            ):
+                nursery.start_soon(supervise, name, work, self._metrics)
             await self._serve(termination)
             nursery.cancel_scope.cancel()
 
@@ -115,11 +119,19 @@
                 self._clock,
                 self._metrics,
             )
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(holder.run)
-                while self._keeper.held is term:
-                    await self._keeper.wait_for_change()
-                nursery.cancel_scope.cancel()
+            try:
+                await self._hold_term(term, holder)
+            except Exception:
+                # Another holder of the same term would give out its run ids again.
+                self._keeper.depose('unexpected error')
+                raise
+
+    async def _hold_term(self, term: HeldTerm, holder: Holder) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(holder.run)
+            while self._keeper.held is term:
+                await self._keeper.wait_for_change()
+            nursery.cancel_scope.cancel()
 
 
 async def note_reloads() -> None:
--- a/comfreywind/platform/target_client.py
+++ b/comfreywind/platform/target_client.py
@@ -35,6 +35,8 @@
     'room': StartAnswer.NO_ROOM,
     'ticket': StartAnswer.NO_TICKET,
 }
+# What decoding a report of another form raises.
+REPORT_FAILURES = (ValueError, LookupError, TypeError, ArithmeticError, AttributeError)
 
 log = logging.getLogger('comfreywind.targets')
 
@@ -143,7 +145,7 @@
 def _decode_report(reply: HttpReply) -> TargetReport:
     try:
         return _make_report(json.loads(reply.body))
-    except (ValueError, LookupError, TypeError) as error:
+    except REPORT_FAILURES as error:
         raise TargetSilentError(f"hold: answer can't be read: {error!r}") from error
 
 
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -88,6 +88,14 @@
             record.progress.state = JobState.CANCELLED
             self._close_job(record)
 
+    def set_aside(self, record: JobRecord, planned_s: float) -> None:
+        """Start no more tasks of a job whose plan at that time failed; what runs of it runs on."""
+        self.open_jobs.pop(record.job.job_id, None)
+        for run in list(record.runs.values()):
+            # The orders of the failed plan are not sent.
+            if run.state is RunState.STARTING and run.started_s == planned_s:
+                self.forget_run(run)
+
     def join_progress(self, record: JobRecord, stored: Progress) -> None:
         """Take in what another holder, or a caller's cancelling, wrote of a job's progress."""
         record.join(stored)
@@ -364,9 +372,13 @@
         if run is not None and run.run_id == ended.run_id:
             run.checkpoint = ended.checkpoint or run.checkpoint
             self.forget_run(run)
-        if record is not None:
-            self._note_outcome(record, target, ended, now_s)
-            self.requeue(ended.key)
+        if record is None:
+            return
+        if not record.has_task(ended.key):
+            log.warning('target %s: ends %s, no task', target.entry.target_id, ended.key)
+            return
+        self._note_outcome(record, target, ended, now_s)
+        self.requeue(ended.key)
 
     def _note_outcome(
         self, record: JobRecord, target: TargetRecord, ended: EndedRun, now_s: float
@@ -530,7 +542,7 @@
 
 
 def _is_wanted(record: JobRecord, key: TaskKey) -> bool:
-    if key.step >= len(record.job.steps) or key in record.runs:
+    if not record.has_task(key) or key in record.runs:
         return False
     return record.open and not record.is_done(key)
 
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -1,6 +1,8 @@
 """Schedules all pools while this node holds the term."""
 
 import logging
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 
@@ -47,6 +49,7 @@
 from comfreywind.scheduling.vm_watch import VmWatch
 from comfreywind.settings.address import Address
 from comfreywind.settings.node import NodeSettings
+from comfreywind.supervision import supervise
 
 # Changes that come within this time are planned together.
 GATHER_S = 0.004
@@ -87,7 +90,7 @@
         self._keeper = keeper
         self._clock = clock
         self.board = Board(term.epoch)
-        self._planner = Planner(self.board)
+        self._planner = Planner(self.board, metrics=metrics)
         self.journal = ProgressJournal(rows, self.board)
         self._turns = OrderTurns(rows, term, settings.timings.order_turn_s, clock)
         self._links: dict[str, TargetLink] = {}
@@ -111,27 +114,28 @@
             TABLE_INTAKE,
             (*INTAKE_PARTS, *PROGRESS_PARTS),
             self._take_intake,
-            self._take_jobs,
             self._clock,
             after=self._progress_loaded,
+            metrics=self._metrics,
         )
         targets = RowFeed(
             self._rows,
             TABLE_SERVERS,
             ('',),
             self._take_target,
-            self._take_targets,
             self._clock,
+            self._note_listed,
             # A run of a job that is not known would be stopped.
             after=intake.loaded,
+            metrics=self._metrics,
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             # All is read at the same time, as a slow store takes up to a second for an answer.
             nursery.start_soon(self._load)
-            nursery.start_soon(self.journal.run)
-            nursery.start_soon(intake.run)
-            nursery.start_soon(targets.run)
+            self._start('journal', self.journal.run)
+            self._start('intake feed', intake.run)
+            self._start('targets feed', targets.run)
             await targets.loaded.wait()
             log.info(
                 'term %d: %d jobs, %d targets',
@@ -139,22 +143,26 @@
                 len(self.board.jobs),
                 len(self.board.targets),
             )
-            nursery.start_soon(self._tick)
-            nursery.start_soon(self._note_levels)
-            nursery.start_soon(self._settle_old_jobs)
+            self._start('tick', self._tick)
+            self._start('levels', self._note_levels)
+            self._start('settling', self._settle_old_jobs)
             if self._settings.advice_address is not None:
                 client = AdviceClient(self._settings.advice_address)
                 advice = AdviceKeeper(client, self._planner, self._clock, self._wake_planner)
-                nursery.start_soon(advice.run)
+                self._start('advice', advice.run)
             if self._settings.vm_service_address is not None:
-                self._start_vm_tasks(nursery, self._settings.vm_service_address)
-            await self._plan_forever()
+                self._start_vm_tasks(self._settings.vm_service_address)
+            await supervise('planner', self._plan_forever, self._metrics)
 
     def publish(self, orders: list[Order]) -> None:
         """Send orders and plan again soon."""
         self._wake.set()
         self._send(orders)
 
+    def _start(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(supervise, name, work, self._metrics)
+
     def _send(self, orders: list[Order]) -> None:
         for order in orders:
             link = self._links.get(order.target_id)
@@ -202,18 +210,18 @@
             log.warning('starts of older jobs wait until all earlier runs have lapsed: %s', error)
         self._stored_roster = self._old_roster
 
-    def _start_vm_tasks(self, nursery: trio.Nursery, address: Address) -> None:
+    def _start_vm_tasks(self, address: Address) -> None:
         client = VmClient(address)
         self._watch = VmWatch(client, self.board, self._clock)
         upkeep = self._make_upkeep(client, self._watch)
         pools = self._make_pools(client, self._watch)
-        nursery.start_soon(upkeep.run)
-        nursery.start_soon(pools.run)
-        nursery.start_soon(
-            self._watch.run,
-            lambda: upkeep.is_busy() or pools.is_busy() or self._has_doubt(),
-            self._wake_planner,
-        )
+        self._start('upkeep', upkeep.run)
+        self._start('pools', pools.run)
+        needed = partial(self._needs_list, upkeep, pools)
+        self._start('VM list', partial(self._watch.run, needed, self._wake_planner))
+
+    def _needs_list(self, upkeep: UpkeepKeeper, pools: PoolKeeper) -> bool:
+        return upkeep.is_busy() or pools.is_busy() or self._has_doubt()
 
     def _has_doubt(self) -> bool:
         """Return whether the list of VMs could tell that runs have ended with their VM."""
@@ -254,10 +262,6 @@
 
     # Jobs
 
-    def _take_jobs(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            self._take_intake(row)
-
     def _take_intake(self, row: StoredRow) -> None:
         if row.payload is None:
             return
@@ -280,13 +284,11 @@
 
     # Targets
 
-    def _take_targets(self, rows: tuple[StoredRow, ...]) -> None:
+    def _note_listed(self, rows: tuple[StoredRow, ...]) -> None:
         listed = {row.key for row in rows}
         for target_id, record in self.board.targets.items():
             if target_id not in listed:
                 record.leaving = True
-        for row in rows:
-            self._take_target(row)
 
     def _take_target(self, row: StoredRow) -> None:
         record = self.board.targets.get(row.key)
@@ -321,7 +323,7 @@
             self._metrics,
         )
         self._links[target_id] = link
-        self._nursery.start_soon(self._run_link, target_id, link)
+        self._start('link', partial(self._run_link, target_id, link))
 
     async def _run_link(self, target_id: str, link: TargetLink) -> None:
         await link.run()
@@ -370,12 +372,11 @@
         now_ms = self._clock.read_utc().timestamp() * MS_PER_S
         if self._rules.rules is not None:
             self.board.rules = self._rules.rules
-        orders = self.board.stop_closed_jobs(now_s)
-        orders.extend(self.board.stop_broken_gangs(now_s))
-        orders.extend(self._planner.plan(now_s, now_ms))
+        self._send(self.board.stop_closed_jobs(now_s))
+        self._send(self.board.stop_broken_gangs(now_s))
+        self._send(self._planner.plan(now_s, now_ms))
         if self.board.changed_jobs:
             self.journal.wake()
-        self._send(orders)
 
     async def _settle_old_jobs(self) -> None:
         """Look until the older jobs may be started; a slow store must not hold up planning."""
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -71,6 +71,11 @@
         for task, run_ids in stored.failures.items():
             self.progress.failures.setdefault(task, set()).update(run_ids)
 
+    def has_task(self, key: TaskKey) -> bool:
+        """Return whether the job has such a task; targets may list anything."""
+        known = (key.occurrence, key.step) in self.left_in_step
+        return known and 0 <= key.number < self.job.steps[key.step].task_count
+
     def is_done(self, key: TaskKey) -> bool:
         """Return whether an end `done` of the task is known."""
         return (key.occurrence, key.step, key.number) in self.progress.done
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -1,6 +1,8 @@
 """Decides from the board which tasks start now, and on which targets."""
 
-from collections.abc import Collection, Iterable, Mapping
+import logging
+from collections.abc import Callable, Collection, Iterable, Mapping
+from functools import partial
 
 from comfreywind.decisions.scheduling.placement import TargetRoom, choose_rack, find_request
 from comfreywind.decisions.scheduling.room_index import NO_COUNTS, RoomIndex
@@ -9,12 +11,14 @@
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.task_key import TaskKey
+from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.scheduling.advice import Advice, AdviceQuestion
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.job_record import JobRecord
 from comfreywind.scheduling.orders import Order, StartOrder
 from comfreywind.scheduling.run_record import RunRecord, RunState
 from comfreywind.scheduling.target_record import TargetRecord
+from comfreywind.supervision import note_unexpected
 
 # Run ids of one term; a task that is started more often than that waits for the next term.
 RUNS_PER_TERM = 1_000
@@ -25,12 +29,17 @@
 MS_PER_S = 1000
 NO_TARGETS: frozenset[str] = frozenset()
 
+log = logging.getLogger('comfreywind.planner')
+
 
 class Planner:
     """Starts of the tasks that wait on a board."""
 
-    def __init__(self, board: Board, order_work: FindTurn = find_turn) -> None:
+    def __init__(
+        self, board: Board, order_work: FindTurn = find_turn, metrics: Metrics | None = None
+    ) -> None:
         """Plan for this board, with jobs in the order of work that the function gives."""
+        self._metrics = metrics or NoMetrics()
         self._order_work = order_work
         self._board = board
         self._advice: dict[tuple[str, int, int], Advice] = {}
@@ -44,8 +53,10 @@
         orders: list[Order] = []
         self._questions.clear()
         waiting_by_pool: dict[str, list[JobRecord]] = {}
-        for record in self._board.open_jobs.values():
-            self._unlock_steps(record, now_ms)
+        self._now_s = now_s
+        for record in list(self._board.open_jobs.values()):
+            if not self._try(record, partial(self._unlock_steps, record, now_ms)):
+                continue
             if record.waiting and record.settled:
                 waiting_by_pool.setdefault(self._board.find_pool(record), []).append(record)
         for pool, records in waiting_by_pool.items():
@@ -82,15 +93,28 @@
         ]
         if not targets:
             return []
-        self._now_s = now_s
         self._rooms = RoomIndex(map(_describe_room, targets))
         orders: list[Order] = []
         records.sort(key=lambda record: self._order_work(self._describe(record), now_ms))
         self._refused.clear()
         for record in records:
-            orders.extend(self._start_waiting(record, targets))
+            starts: list[Order] = []
+            if self._try(record, partial(self._start_waiting, record, targets, starts)):
+                orders.extend(starts)
         return orders
 
+    def _try(self, record: JobRecord, work: Callable[[], None]) -> bool:
+        """Do a part of the plan for one job; set the job aside when that fails."""
+        try:
+            work()
+        except Exception as error:
+            # Another plan would fail alike, and with it the starts of all other jobs.
+            log.error('job %s is set aside', record.job.job_id)
+            note_unexpected('planner', error, self._metrics)
+            self._board.set_aside(record, self._now_s)
+            return False
+        return True
+
     def _describe(self, record: JobRecord) -> JobStanding:
         queue = self._board.rules.queues.get(record.job.queue.name, record.job.queue)
         return JobStanding(
@@ -102,11 +126,13 @@
             remaining_ms=record.remaining_ms,
         )
 
-    def _start_waiting(self, record: JobRecord, targets: list[TargetRecord]) -> list[Order]:
+    def _start_waiting(
+        self, record: JobRecord, targets: list[TargetRecord], orders: list[Order]
+    ) -> None:
+
         by_step: dict[tuple[int, int], list[TaskKey]] = {}
         for key in record.waiting:
             by_step.setdefault((key.occurrence, key.step), []).append(key)
-        orders: list[Order] = []
         for step_key, keys in by_step.items():
             allowed = self._find_approved(record, step_key, targets)
             if record.job.steps[step_key[1]].gang:
@@ -116,7 +142,6 @@
         if orders and record.progress.state is JobState.QUEUED:
             record.progress.state = JobState.RUNNING
             self._board.mark_changed(record)
-        return orders
 
     def _start_tasks(
         self, record: JobRecord, keys: list[TaskKey], allowed: Collection[str] | None
--- a/comfreywind/scheduling/progress_journal.py
+++ b/comfreywind/scheduling/progress_journal.py
@@ -73,6 +73,16 @@
             target_id: target.applied_number for target_id, target in self._board.targets.items()
         }
         changed = self._board.take_changed()
+        try:
+            stored = await self._store_parts(changed)
+        except Exception:
+            self._mark_again(changed)
+            raise
+        if stored:
+            self._acknowledge(applied)
+        return stored
+
+    async def _store_parts(self, changed: list[JobRecord]) -> bool:
         by_part: dict[str, list[JobRecord]] = {}
         for record in changed:
             by_part.setdefault(find_progress_part(record.job.job_id), []).append(record)
@@ -85,8 +95,6 @@
         async with trio.open_nursery() as nursery:
             for part, records in by_part.items():
                 nursery.start_soon(store_part, part, records)
-        if all(stored):
-            self._acknowledge(applied)
         return all(stored)
 
     async def _store(self, part: str, records: list[JobRecord]) -> bool:
--- a/comfreywind/scheduling/row_feed.py
+++ b/comfreywind/scheduling/row_feed.py
@@ -7,15 +7,17 @@
 
 from comfreywind.clock import Clock
 from comfreywind.errors import HistoryLostError, StoreUnavailableError
+from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import StoredRow
+from comfreywind.supervision import note_unexpected
 
 RETRY_S = 0.2
 
 log = logging.getLogger('comfreywind.feed')
 
-TakeChange = Callable[[StoredRow], None]
-TakeWhole = Callable[[tuple[StoredRow, ...]], None]
+TakeRow = Callable[[StoredRow], None]
+NoteWhole = Callable[[tuple[StoredRow, ...]], None]
 
 
 class RowFeed:
@@ -29,21 +31,24 @@
         rows: RowsClient,
         table: str,
         parts: Iterable[str],
-        take_change: TakeChange,
-        take_whole: TakeWhole,
+        take_row: TakeRow,
         clock: Clock,
+        note_whole: NoteWhole | None = None,
         after: trio.Event | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
-        """Give each changed row to `take_change` and each whole reading to `take_whole`.
+        """Give each row that was read or changed to `take_row`.
 
-        Rows may be read before `after` is set, but none is given out until then.
+        `note_whole` gets each whole reading before its rows are given out one by one. Rows may be
+        read before `after` is set, but none is given out until then.
         """
         self._after = after
+        self._metrics = metrics or NoMetrics()
         self._rows = rows
         self._table = table
         self._parts = tuple(parts)
-        self._take_change = take_change
-        self._take_whole = take_whole
+        self._take_row = take_row
+        self._note_whole = note_whole
         self._clock = clock
         self.confirmed_s: float | None = None
         self.loaded = trio.Event()
@@ -67,11 +72,18 @@
             return await self._read_whole(asked_s)
         page = await self._rows.read_changes(self._table, version)
         for row in page.rows:
-            self._take_change(row)
+            self._take(row)
         # A feed that waited showed the rows as they were when it was answered.
         self.confirmed_s = asked_s if page.rows else self._clock.read_monotonic_s()
         return page.version
 
+    def _take(self, row: StoredRow) -> None:
+        try:
+            self._take_row(row)
+        except Exception as error:
+            log.error('%s: row %s is skipped', self._table, row.key)
+            note_unexpected('feed', error, self._metrics)
+
     async def _read_whole(self, asked_s: float) -> int:
         rows: list[StoredRow] = []
         versions: list[int] = []
@@ -80,7 +92,10 @@
             versions.append(page.version)
         if self._after is not None:
             await self._after.wait()
-        self._take_whole(tuple(rows))
+        if self._note_whole is not None:
+            self._note_whole(tuple(rows))
+        for row in rows:
+            self._take(row)
         self.confirmed_s = asked_s
         self.loaded.set()
         return min(versions)
--- a/comfreywind/scheduling/rules_follower.py
+++ b/comfreywind/scheduling/rules_follower.py
@@ -24,7 +24,7 @@
     def __init__(self, rows: RowsClient, clock: Clock) -> None:
         """Follow the operator's table through the store's client."""
         self._clock = clock
-        self._feed = RowFeed(rows, TABLE_OPERATOR, ('',), self._take_row, self._take_rows, clock)
+        self._feed = RowFeed(rows, TABLE_OPERATOR, ('',), self._take_row, clock)
         self.rules: JobRules | None = None
         self.waves: dict[int, UpkeepWave] = {}
         self._wave_end_s: dict[int, float] = {}
@@ -48,10 +48,6 @@
         """Return when the wave should be complete, by the time this node first saw it."""
         return self._wave_end_s[wave]
 
-    def _take_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            self._take_row(row)
-
     def _take_row(self, row: StoredRow) -> None:
         if row.payload is None:
             return
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -17,6 +17,7 @@
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.term_keeper import TermKeeper
+from comfreywind.supervision import note_unexpected
 
 # Long enough to outlast a change of the holder, short enough that the work of a lost target soon
 # starts elsewhere.
@@ -86,7 +87,26 @@
 
     async def send(self, order: Order) -> None:
         """Send an order and tell the board what came of it."""
-        self._publish(await self._send(order))
+        try:
+            orders = await self._send(order)
+        except Exception as error:
+            note_unexpected('order', error, self._metrics)
+            orders = self._note_doubt(order)
+        self._publish(orders)
+
+    @singledispatchmethod
+    def _note_doubt(self, order: Order) -> list[Order]:
+        """Take in that it is not known what came of an order."""
+        return []
+
+    @_note_doubt.register
+    def _note_start_doubt(self, order: StartOrder) -> list[Order]:
+        now_s = self._clock.read_monotonic_s()
+        return self._board.note_start(order, StartAnswer.UNKNOWN, now_s)
+
+    @_note_doubt.register
+    def _note_stop_doubt(self, order: StopOrder) -> list[Order]:
+        return self._board.note_stop(order, False, self._clock.read_monotonic_s())
 
     @singledispatchmethod
     async def _send(self, order: Order) -> list[Order]:
@@ -151,7 +171,12 @@
         if report is None:
             self._keeper.depose(f'target {self._record.entry.target_id} has a higher fence')
             return False
-        self._note_report(report, asked_s)
+        try:
+            self._note_report(report, asked_s)
+        except Exception as error:
+            # A target whose lists can't be taken in gets no further lease, as one that is silent.
+            note_unexpected('report', error, self._metrics)
+            return self._note_silence(TargetSilentError(f'report not taken in: {error!r}'))
         return True
 
     def _note_report(self, report: TargetReport, asked_s: float) -> None:
--- /dev/null
+++ b/tests/field_faults/__init__.py
@@ -0,0 +1,1 @@
+"""What went wrong for operators of similar systems, one module for each."""
