Let only its own team and queue see or cancel a job

Cause: GET and DELETE looked up the id alone, so a key of any team reads and cancels the jobs of all others. Ruled out: the owner in the row of the progress, which a node of the version before could not read during a rolling restart. Others get the answer for a job that does not exist; a repeat of an id that is another team's gets 409. Before: test_other_team got 200. After: tests/test_job_owner.py passes.

--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -27,6 +27,10 @@
     """A job that a caller handed in is not valid; nothing of it is accepted."""
 
 
+class JobIdTakenError(ComfreywindError):
+    """A job of that id is stored already and belongs to another team or queue."""
+
+
 class JobMissingError(ComfreywindError):
     """No job of that id is stored."""
 
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -7,6 +7,7 @@
 
 from comfreywind.clock import Clock
 from comfreywind.errors import (
+    JobIdTakenError,
     JobRequestError,
     StoreRefusedError,
     StoreUnavailableError,
@@ -122,7 +123,7 @@
         serve = {'GET': self._tell_state, 'DELETE': self._cancel}.get(method)
         if serve is None:
             return Reply(405, {'error': 'GET, POST and DELETE are served'})
-        return await serve(job_id)
+        return await serve(job_id, team, queue)
 
     def _admit(self, path: str, headers: dict[bytes, bytes]) -> tuple[Queue, str]:
         """Return the queue and the team of a call; raise its refusal as a Reply."""
@@ -145,20 +146,23 @@
             )
         except JobRequestError as error:
             return Reply(400, {'error': str(error)})
-        new = await self._store.accept(job)
+        try:
+            new = await self._store.accept(job)
+        except JobIdTakenError as error:
+            return Reply(409, {'error': str(error)})
         log.info(
             'job %s: %s for %s in %s', job_id, 'accepted' if new else 'known', team, queue.name
         )
         return Reply(200, {'state': STATE_WORDS[JobState.QUEUED]} if new else {})
 
-    async def _tell_state(self, job_id: str) -> Reply:
-        state = await self._store.read_state(job_id)
+    async def _tell_state(self, job_id: str, team: str, queue: Queue) -> Reply:
+        state = await self._store.read_state(job_id, team, queue)
         if state is None:
             return Reply(410, {'error': 'no such job'})
         return Reply(200, {'state': STATE_WORDS[state]})
 
-    async def _cancel(self, job_id: str) -> Reply:
-        state = await self._store.cancel(job_id)
+    async def _cancel(self, job_id: str, team: str, queue: Queue) -> Reply:
+        state = await self._store.cancel(job_id, team, queue)
         if state is None:
             return Reply(410, {'error': 'no such job'})
         log.info('job %s: cancelling asked, state %s', job_id, state)
--- a/tests/field_faults/test_malformed_message.py
+++ b/tests/field_faults/test_malformed_message.py
@@ -1,7 +1,7 @@
 """One malformed message or unexpected error took a whole process down.
 
 It could happen here: a target that listed the end of a task that a known job does not have ended the
-holder with a KeyError, and each later holder as well, because the target listed it again.
+holder with an IndexError, and each later holder as well, because the target listed it again.
 """
 
 from typing import Any
