Ask for the permission when a call is sent, not when it is made

Cause: an order was checked against the term and then waited for one of four connections; the timeout of a call runs on a clock that stands still while a VM is suspended. Ruled out: the fence, which the users' VM service does not check. The same for a job whose key was withdrawn between its admission and its write.

--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -61,6 +61,10 @@
     """The store no longer has the changes after the asked version; read the table anew."""
 
 
+class CallNotPermittedError(PlatformError):
+    """The permission for a call ended while it waited to be sent; nothing was done."""
+
+
 class RowsChangedError(PlatformError):
     """A transaction was refused because rows changed; `rows` are those named, as they are now."""
 
--- a/comfreywind/http/client.py
+++ b/comfreywind/http/client.py
@@ -2,16 +2,20 @@
 
 import gzip
 import json
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import httpcore
 import trio
 
+from comfreywind.errors import CallNotPermittedError
 from comfreywind.http.buffered_stream import connect
 from comfreywind.settings.address import Address
 
 HeaderItems = list[tuple[bytes, bytes]]
+Permit = Callable[[], bool]
+_Send = Callable[[httpcore.AsyncHTTP11Connection], Awaitable[httpcore.Response]]
 # Closing waits for nothing but the end of connections that may be silent.
 CLOSE_LIMIT_S = 1.0
 KEEP_IDLE_S = 30.0
@@ -69,22 +73,27 @@
         path: str,
         document: object | None = None,
         headers: HeaderItems | None = None,
+        permit: Permit | None = None,
     ) -> HttpReply:
-        """Return the reply; raise trio.TooSlowError or an httpcore error when there is none."""
+        """Return the reply; raise trio.TooSlowError or an httpcore error when there is none.
+
+        A call may wait for a connection while its permission runs out, and the process may be
+        paused meanwhile. So `permit` is asked once the connection is there, just before the call is
+        sent; CallNotPermittedError is raised when it is False.
+        """
         body = b'' if document is None else json.dumps(document).encode()
         all_headers = [*(headers or []), *COMMON_HEADERS]
-        url = httpcore.URL(
-            scheme=b'http',
-            host=self._origin.host,
-            port=self._origin.port,
-            target=path.encode('ascii'),
-        )
+        url = self._make_url(path)
+
+        def send(connection: httpcore.AsyncHTTP11Connection) -> Awaitable[httpcore.Response]:
+            return connection.request(method, url, headers=all_headers, content=body)
+
         pool = self._pool
         pool.calls += 1
         try:
             with trio.fail_after(self._timeout_s):
                 async with pool.slots:
-                    response = await self._exchange(pool, method, url, all_headers, body)
+                    response = await self._exchange(pool, send, permit)
         except trio.TooSlowError:
             self._retire(pool)
             raise
@@ -98,12 +107,17 @@
         self._pool.retired = True
         await _close_idle(self._pool)
 
-    async def _exchange(
-        self, pool: _Pool, method: str, url: httpcore.URL, headers: HeaderItems, body: bytes
-    ) -> httpcore.Response:
+    def _make_url(self, path: str) -> httpcore.URL:
+        host, port = self._origin.host, self._origin.port
+        return httpcore.URL(scheme=b'http', host=host, port=port, target=path.encode('ascii'))
+
+    async def _exchange(self, pool: _Pool, send: _Send, permit: Permit | None) -> httpcore.Response:
         connection = await _take_idle(pool) or await self._connect()
+        if permit is not None and not permit():
+            await connection.aclose()
+            raise CallNotPermittedError('the permission ended before the call was sent')
         try:
-            return await connection.request(method, url, headers=headers, content=body)
+            return await send(connection)
         finally:
             # httpcore closes a connection on which a call has failed.
             if connection.is_idle():
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -1,7 +1,7 @@
 """Callers' HTTP interface of jobs."""
 
 import logging
-from functools import singledispatch
+from functools import partial, singledispatch
 
 import trio
 
@@ -15,6 +15,7 @@
 from comfreywind.http.asgi_body import BodyIncompleteError, BodyTooLargeError, read_body
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import Receive, Scope, Send
+from comfreywind.http.client import Permit
 from comfreywind.intake.job_store import JobStore
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
@@ -119,7 +120,8 @@
         if not JOB_ID_PATTERN.fullmatch(job_id):
             return Reply(400, {'error': 'a job id has 16 hexadecimal digits'})
         if method == 'POST':
-            return await self._accept(job_id, team, queue, body)
+            permit = partial(self._is_admitted, path, headers, team)
+            return await self._accept(job_id, team, queue, body, permit)
         serve = {'GET': self._tell_state, 'DELETE': self._cancel}.get(method)
         if serve is None:
             return Reply(405, {'error': 'GET, POST and DELETE are served'})
@@ -138,7 +140,16 @@
             raise Reply(401, {'error': 'unknown key'})
         return queue, team
 
-    async def _accept(self, job_id: str, team: str, queue: Queue, body: bytes) -> Reply:
+    def _is_admitted(self, path: str, headers: dict[bytes, bytes], team: str) -> bool:
+        """Return whether the rules in force still admit a call of the team."""
+        try:
+            return self._admit(path, headers)[1] == team
+        except Reply:
+            return False
+
+    async def _accept(
+        self, job_id: str, team: str, queue: Queue, body: bytes, permit: Permit
+    ) -> Reply:
         accepted_ms = int(self._clock.read_utc().timestamp() * MS_PER_S)
         try:
             job = decode_job_request(
@@ -147,7 +158,7 @@
         except JobRequestError as error:
             return Reply(400, {'error': str(error)})
         try:
-            new = await self._store.accept(job)
+            new = await self._store.accept(job, permit)
         except JobIdTakenError as error:
             return Reply(409, {'error': str(error)})
         log.info(
--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -10,6 +10,7 @@
     StoreRefusedError,
     StoreUnavailableError,
 )
+from comfreywind.http.client import Permit
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_codec import (
     decode_job,
@@ -51,21 +52,22 @@
         self._final: dict[str, JobState] = {}
         self._owners: dict[str, JobOwner] = {}
 
-    async def accept(self, job: Job) -> bool:
+    async def accept(self, job: Job, permit: Permit) -> bool:
         """Store a job; return False when its owner has stored a job of that id already.
 
+        `permit` tells whether the caller may still hand it in when the row is about to be written.
         Raises JobIdTakenError when the id belongs to another owner's job, StoreRefusedError when
         nothing was written, and StoreUnavailableError when that is not known.
         """
         change = RowChange(TABLE_INTAKE, job.job_id, encode_job(job), 0)
         try:
-            return await self._insert(change, job)
+            return await self._insert(change, job, permit)
         except StoreRefusedError:
             raise
         except StoreUnavailableError as doubt:
             log.info('job %s: sent again, %s', job.job_id, doubt)
         try:
-            return await self._insert(change, job)
+            return await self._insert(change, job, permit)
         except StoreRefusedError as error:
             # The attempt before may have taken effect, so nothing may be said of the job.
             raise StoreUnavailableError(f'job {job.job_id}: {error}') from error
@@ -109,9 +111,9 @@
                 return JobState.CANCELLED
         raise StoreUnavailableError(f'job {job_id}: progress changes too fast to be cancelled')
 
-    async def _insert(self, change: RowChange, job: Job) -> bool:
+    async def _insert(self, change: RowChange, job: Job, permit: Permit) -> bool:
         try:
-            await self._rows.commit(find_intake_part(change.key), [change])
+            await self._rows.commit(find_intake_part(change.key), [change], permit)
         except RowsChangedError as error:
             for row in error.rows:
                 self._check_owner(row, job)
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -9,12 +9,13 @@
 
 from comfreywind.clock import Clock
 from comfreywind.errors import (
+    CallNotPermittedError,
     HistoryLostError,
     RowsChangedError,
     StoreRefusedError,
     StoreUnavailableError,
 )
-from comfreywind.http.client import HttpClient, HttpReply
+from comfreywind.http.client import HttpClient, HttpReply, Permit
 from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.concurrent_calls import run_together
 from comfreywind.platform.store_call import CALL_FAILURES
@@ -56,15 +57,17 @@
         """Return the last reading of the store's clock."""
         return self._store_time
 
-    async def commit(self, part: str, changes: Sequence[RowChange]) -> int:
+    async def commit(
+        self, part: str, changes: Sequence[RowChange], permit: Permit | None = None
+    ) -> int:
         """Commit all changes to rows of one part or none; return the version they got.
 
         Raises RowsChangedError when an expected version was not met and StoreRefusedError when the
-        store refused the call: nothing was written. Raises StoreUnavailableError when the outcome
-        is not known.
+        store refused the call, or `permit` was False when it was to be sent: nothing was written.
+        Raises StoreUnavailableError when the outcome is not known.
         """
         changed = _encode_changes(part, changes)
-        status, document = await self._call('POST', '/v1/rows-tx', changed)
+        status, document = await self._call('POST', '/v1/rows-tx', changed, permit)
         if status == STATUS_CONFLICT:
             raise RowsChangedError(_read_rows(document))
         return _read_version(document)
@@ -121,12 +124,12 @@
         return _decode_page(document)
 
     async def _call(
-        self, method: str, path: str, sent: object | None = None
+        self, method: str, path: str, sent: object | None = None, permit: Permit | None = None
     ) -> tuple[int, dict[str, Any]]:
         """Return the status, 200 or 412, and the document of the reply."""
         asked_s = self._clock.read_monotonic_s()
         try:
-            reply = await _call(self._client, method, path, sent)
+            reply = await _call(self._client, method, path, sent, permit)
         except StoreUnavailableError:
             self._metrics.count('store_calls.unanswered')
             raise
@@ -145,10 +148,16 @@
 
 
 async def _call(
-    client: HttpClient, method: str, path: str, document: object | None = None
+    client: HttpClient,
+    method: str,
+    path: str,
+    document: object | None = None,
+    permit: Permit | None = None,
 ) -> HttpReply:
     try:
-        return await client.call(method, path, document)
+        return await client.call(method, path, document, permit=permit)
+    except CallNotPermittedError as error:
+        raise StoreRefusedError(f'{method} {path[:60]}: {error}') from error
     except CALL_FAILURES as error:
         raise StoreUnavailableError(f'{method} {path[:60]}: {error!r}') from error
 
--- a/comfreywind/platform/target_client.py
+++ b/comfreywind/platform/target_client.py
@@ -4,8 +4,8 @@
 import logging
 from typing import Any
 
-from comfreywind.errors import TargetReplacedError, TargetSilentError
-from comfreywind.http.client import HttpClient, HttpReply
+from comfreywind.errors import CallNotPermittedError, TargetReplacedError, TargetSilentError
+from comfreywind.http.client import HttpClient, HttpReply, Permit
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.jobs.task_key import TaskKey, parse_task_key
@@ -44,8 +44,11 @@
 class TargetClient:
     """Client of one life of a target; times are on the target's own clock."""
 
-    def __init__(self, target_id: str, address: Address, longest_wait_s: float) -> None:
-        """Prepare connections to the address."""
+    def __init__(
+        self, target_id: str, address: Address, longest_wait_s: float, permit: Permit
+    ) -> None:
+        """Prepare connections to the address; orders are sent only while `permit` is True."""
+        self._permit = permit
         self._client = HttpClient(address, ORDER_TIMEOUT_S, CONNECTION_LIMIT)
         self._hold_client = HttpClient(address, longest_wait_s + HOLD_MARGIN_S, 1)
         self._headers = [(HEADER_INSTANCE, target_id.encode())]
@@ -72,7 +75,10 @@
             {name: text for name, text in (('checkpoint', checkpoint), ('ticket', ticket)) if text}
         )
         try:
-            reply = await self._client.call('POST', '/v1/run-start', order, self._headers)
+            reply = await self._send('/v1/run-start', order)
+        except CallNotPermittedError as error:
+            log.info('start of %s run %d is not sent: %s', key, run_id, error)
+            return StartAnswer.EXPIRED
         except CALL_FAILURES as error:
             log.info('start of %s run %d has no answer: %r', key, run_id, error)
             return StartAnswer.UNKNOWN
@@ -101,15 +107,17 @@
         """Extend the lease of all runs, acknowledge ends up to `last_seen` and return the lists.
 
         Returns None when a holder with a higher fence has taken over. Raises TargetSilentError
-        without a usable answer and TargetReplacedError when another life answers.
+        without a usable answer, TargetReplacedError when another life answers, and
+        CallNotPermittedError when a lease would be extended without the permission.
         """
         order = {'fencing_token': fence, 'last_seen': last_seen}
         if expires_ms is not None:
             order['expires_ms'] = expires_ms
         if wait_ms:
             order['wait_ms'] = wait_ms
+        permit = None if expires_ms is None else self._permit
         try:
-            reply = await self._hold_client.call('POST', '/v1/hold', order, self._headers)
+            reply = await self._hold_client.call('POST', '/v1/hold', order, self._headers, permit)
         except CALL_FAILURES as error:
             raise TargetSilentError(f'hold: {error!r}') from error
         if reply.status == STATUS_REPLACED:
@@ -125,9 +133,15 @@
         await self._client.close()
         await self._hold_client.close()
 
+    async def _send(self, path: str, order: dict[str, Any]) -> HttpReply:
+        return await self._client.call('POST', path, order, self._headers, self._permit)
+
     async def _order(self, path: str, order: dict[str, Any]) -> bool:
         try:
-            reply = await self._client.call('POST', path, order, self._headers)
+            reply = await self._send(path, order)
+        except CallNotPermittedError as error:
+            log.info('%s of %s is not sent: %s', path, order['task_id'], error)
+            return False
         except CALL_FAILURES as error:
             log.info('%s of %s has no answer: %r', path, order['task_id'], error)
             return False
--- a/comfreywind/platform/vm_client.py
+++ b/comfreywind/platform/vm_client.py
@@ -4,8 +4,8 @@
 import logging
 from typing import Any
 
-from comfreywind.errors import StoreUnavailableError
-from comfreywind.http.client import HttpClient
+from comfreywind.errors import CallNotPermittedError, StoreUnavailableError
+from comfreywind.http.client import HttpClient, Permit
 from comfreywind.jobs.vm import Vm
 from comfreywind.platform.amounts import Amounts
 from comfreywind.platform.store_call import CALL_FAILURES
@@ -29,8 +29,9 @@
 class VmClient:
     """Reads the list of VMs and orders moves and upkeep under the holder's fence."""
 
-    def __init__(self, address: Address) -> None:
-        """Prepare connections to the address."""
+    def __init__(self, address: Address, permit: Permit | None = None) -> None:
+        """Prepare connections to the address; orders are sent only while `permit` is True."""
+        self._permit = permit
         self._client = HttpClient(address, CALL_TIMEOUT_S, 4)
 
     async def read_vms(self) -> list[Vm]:
@@ -68,7 +69,10 @@
     ) -> VmOrderAnswer:
         headers = [(HEADER_HOLDER, holder.encode()), (HEADER_FENCE, str(fence).encode())]
         try:
-            reply = await self._client.call('POST', path, order, headers)
+            reply = await self._client.call('POST', path, order, headers, self._permit)
+        except CallNotPermittedError as error:
+            log.info('%s of %s is not sent: %s', path, order['machine'], error)
+            return VmOrderAnswer.REFUSED
         except CALL_FAILURES as error:
             log.info('%s of %s has no answer: %r', path, order['machine'], error)
             return VmOrderAnswer.UNKNOWN
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -159,6 +159,10 @@
         self._wake.set()
         self._send(orders)
 
+    def _may_order(self) -> bool:
+        """Return whether orders of this term may be sent at this moment."""
+        return self._keeper.held is self._term and self._keeper.is_valid()
+
     def _start(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(supervise, name, work, self._metrics)
@@ -211,7 +215,7 @@
         self._stored_roster = self._old_roster
 
     def _start_vm_tasks(self, address: Address) -> None:
-        client = VmClient(address)
+        client = VmClient(address, self._may_order)
         self._watch = VmWatch(client, self.board, self._clock)
         upkeep = self._make_upkeep(client, self._watch)
         pools = self._make_pools(client, self._watch)
@@ -313,7 +317,7 @@
             return
         link = TargetLink(
             record,
-            TargetClient(target_id, record.entry.address, LONGEST_WAIT_S),
+            TargetClient(target_id, record.entry.address, LONGEST_WAIT_S, self._may_order),
             self.board,
             self.journal,
             self._keeper,
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -7,7 +7,7 @@
 import trio
 
 from comfreywind.clock import Clock
-from comfreywind.errors import TargetReplacedError, TargetSilentError
+from comfreywind.errors import CallNotPermittedError, TargetReplacedError, TargetSilentError
 from comfreywind.jobs.run_report import TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.metrics import Metrics
@@ -168,15 +168,19 @@
         extends = self._keeper.is_valid() and not self._record.silent
         expires_ms = self._find_expiry_ms() if extends else None
         wait_ms = self._find_wait_ms()
+        acknowledged = self._record.acknowledged_number
         # Without a term nothing more is acknowledged: a successor may not know of it.
-        if self._keeper.is_valid():
-            self._record.acknowledged_number = self._record.stored_number
+        if extends:
+            acknowledged = self._record.stored_number
         try:
-            report = await self._client.hold(
-                self._board.epoch, self._record.acknowledged_number, expires_ms, wait_ms
-            )
+            report = await self._client.hold(self._board.epoch, acknowledged, expires_ms, wait_ms)
         except TargetSilentError as error:
+            self._record.acknowledged_number = acknowledged
             return self._note_silence(error)
+        except CallNotPermittedError as error:
+            log.info('target %s: %s', self._record.entry.target_id, error)
+            return True
+        self._record.acknowledged_number = acknowledged
         if report is None:
             self._keeper.depose(f'target {self._record.entry.target_id} has a higher fence')
             return False
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -20,6 +20,18 @@
     await send_json(send, 200, {})
 
 
+async def wait_until_listening(address: Address) -> None:
+    """Return once connections to the address are accepted."""
+    with trio.fail_after(5):
+        while True:
+            try:
+                await (await trio.open_tcp_stream(address.host, address.port)).aclose()
+            except OSError:
+                await trio.sleep(0.01)
+            else:
+                return
+
+
 async def test_timeout_beside_other_calls() -> None:
     """Guards against one call over its time that ends all others to the same service.
 
@@ -31,6 +43,7 @@
     statuses: list[int] = []
     async with trio.open_nursery() as nursery:
         nursery.start_soon(serve_app, answer_late, address, shutdown)
+        await wait_until_listening(address)
         client = HttpClient(address, TIMEOUT_S)
         with trio.fail_after(5):
             statuses.append((await client.call('GET', '/0')).status)
