Begin a wave with the longest chain of upkeeps

Now those of the step with the most due VMs go first, both when VMs are emptied and when they go down. Tests: test_rounds, test_longest_chain_first.

--- a/comfreywind/decisions/scheduling/upkeep.py
+++ b/comfreywind/decisions/scheduling/upkeep.py
@@ -1,5 +1,6 @@
 """Which VMs of a wave are emptied next, and which may go down now."""
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
@@ -15,7 +16,8 @@
 class WaveVm:
     """A VM that is due; `work` is how much would be lost, `blocked` that a step can't bear it.
 
-    `serves` tells that it has tasks of a step that may miss few at a time.
+    `serves` tells that it has tasks of a step that may miss few at a time, and `rounds` how many
+    VMs still have to go down one after the other because of such a step.
     """
 
     name: str
@@ -26,6 +28,7 @@
     work: int
     blocked: bool
     serves: bool = False
+    rounds: int = 0
 
 
 def choose_emptying(
@@ -33,8 +36,8 @@
 ) -> list[WaveVm]:
     """Return further VMs that get no new work.
 
-    Those that serve come first, because they go down only a few at a time and so take the longest;
-    then those with the least work.
+    Those that serve come first, because they go down only a few at a time and so take the longest,
+    and among them those of the step with the most rounds; then those with the least work.
     """
     emptying = [vm for vm in vms if vm.emptying]
     by_pool: dict[str, int] = {}
@@ -42,7 +45,7 @@
         by_pool[vm.pool] = by_pool.get(vm.pool, 0) + 1
     chosen: list[WaveVm] = []
     candidates = (vm for vm in vms if vm.up and not vm.emptying)
-    for vm in sorted(candidates, key=_find_cost):
+    for vm in sorted(candidates, key=find_upkeep_turn):
         if len(emptying) + len(chosen) >= limit:
             break
         share = max(1, int(pool_sizes.get(vm.pool, 0) * POOL_SHARE))
@@ -52,8 +55,9 @@
     return chosen
 
 
-def _find_cost(vm: WaveVm) -> tuple[bool, int, str]:
-    return (not vm.serves, vm.work, vm.name)
+def find_upkeep_turn(vm: WaveVm) -> tuple[bool, int, int, str]:
+    """Return the sort key of a VM that is due: the longest chain of upkeeps goes first."""
+    return (not vm.serves, -vm.rounds, vm.work, vm.name)
 
 
 def may_go_down(vm: WaveVm, left_s: float) -> bool:
@@ -72,6 +76,18 @@
     at_work_on: dict[str, int]
 
 
+def count_rounds(due_targets: Collection[str], steps: Iterable[StepHealth]) -> int:
+    """Return how many upkeeps have to follow each other because of one of the steps."""
+    return max(
+        (
+            math.ceil(len(step.at_work_on.keys() & due_targets) / step.limit)
+            for step in steps
+            if step.limit
+        ),
+        default=0,
+    )
+
+
 def is_blocked(vm_target: str, steps: Iterable[StepHealth]) -> bool:
     """Return whether ending what runs on the target would leave a step with too many away.
 
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -1,7 +1,7 @@
 """Carries out the waves of upkeep that the operator asks for."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import trio
 
@@ -9,6 +9,8 @@
 from comfreywind.decisions.scheduling.upkeep import (
     WaveVm,
     choose_emptying,
+    count_rounds,
+    find_upkeep_turn,
     is_blocked,
     may_go_down,
 )
@@ -40,6 +42,7 @@
 REPEAT_S = 1.3
 # A VM that is up as the same target so long after the service's 200 had its upkeep before.
 ALREADY_DONE_S = 2.0
+NO_TARGETS: frozenset[str] = frozenset()
 
 log = logging.getLogger('comfreywind.upkeep')
 
@@ -175,7 +178,8 @@
         self, wave: UpkeepWave, due: list[Vm], orders: dict[str, VmOrder], now_s: float
     ) -> None:
         waiting = [vm for vm in due if vm.name not in orders]
-        standings = [self._describe(vm, now_s) for vm in waiting]
+        due_targets = frozenset(vm.target_id for vm in waiting)
+        standings = [self._describe(vm, now_s, due_targets) for vm in waiting]
         room = max(0, wave.limit - len(orders))
         for chosen in choose_emptying(standings, self._count_pools(), room):
             self._start_emptying(self._watch.vms[chosen.name], now_s)
@@ -186,6 +190,8 @@
             if order.confirmed_s is None and now_s - order.sent_s > REPEAT_S
         ]
         emptying = [vm for vm in waiting if vm.target_id in self._emptying_since_s]
+        turns = {each.name: find_upkeep_turn(each) for each in standings}
+        emptying.sort(key=lambda vm: turns[vm.name])
         ready = [vm for vm in emptying if self._is_ready(vm, left_s)]
         named = repeated + [vm.name for vm in ready]
         if not named or not await self._turns.announce(named):
@@ -230,7 +236,7 @@
             record.emptying = True
         self._emptying_since_s[vm.target_id] = now_s
 
-    def _describe(self, vm: Vm, now_s: float) -> WaveVm:
+    def _describe(self, vm: Vm, now_s: float, due_targets: Collection[str] = NO_TARGETS) -> WaveVm:
         record = self._board.targets.get(vm.target_id)
         since_s = self._emptying_since_s.get(vm.target_id)
         work = 0 if record is None else self._board.count_short_runs(record)
@@ -244,6 +250,7 @@
             work=work,
             blocked=self._is_unheard(record, now_s) or is_blocked(vm.target_id, health),
             serves=any(step.limit for step in health),
+            rounds=count_rounds(due_targets, health),
         )
 
     def _is_unheard(self, record: TargetRecord | None, now_s: float) -> bool:
--- a/tests/scheduling/test_decisions.py
+++ b/tests/scheduling/test_decisions.py
@@ -26,6 +26,7 @@
     StepHealth,
     WaveVm,
     choose_emptying,
+    count_rounds,
     is_blocked,
     may_go_down,
 )
@@ -194,6 +195,30 @@
     assert is_blocked('t', [step]) is blocked
 
 
+@pytest.mark.parametrize(
+    ('step', 'rounds'),
+    [
+        (StepHealth(1, 0, {'a': 1, 'b': 2, 'x': 1}), 2),
+        (StepHealth(2, 0, {'a': 1, 'b': 1, 'c': 1}), 2),
+        (StepHealth(0, 0, {'a': 1, 'b': 1}), 0),
+        (StepHealth(1, 0, {}), 0),
+    ],
+)
+def test_rounds(step: StepHealth, rounds: int) -> None:
+    """Guards the length of the chain of upkeeps that one step asks for."""
+    assert count_rounds({'a', 'b', 'c'}, [step]) == rounds
+
+
+def test_longest_chain_first() -> None:
+    """Guards against a wave that is late because a long chain of upkeeps began last.
+
+    Pattern: critical path first. Seen on prevoz-plan-large quiet-1: the last VMs of a wave were
+    those of one step, one every two seconds, after all others had been done.
+    """
+    vms = [due('a'), due('b', serves=True, rounds=2), due('c', serves=True, rounds=9)]
+    assert [vm.name for vm in choose_emptying(vms, {'p': 20}, 2)] == ['c', 'b']
+
+
 @pytest.mark.parametrize(
     ('started_later_s', 'waits'), [(20, False), (RESTART_GAP_S, False), (0.3, True), (-20, True)]
 )
