Count a job as begun when a task of it has started

Now an answer, a list or an end of a target says so. Ruled out: a count that was old, as the row is renewed twice a second. Tests: test_pending_until_begun and test_begun_by_report fail on the code before.

--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -168,6 +168,8 @@
         next_state = STATE_BY_ANSWER.get(answer)
         if next_state is not None:
             run.state = next_state if run.state is RunState.STARTING else run.state
+            if answer is StartAnswer.STARTED:
+                self._note_begun(order.key.job_id)
             return []
         log.info('task %s run %d: %s on %s', run.key, run.run_id, answer, order.target_id)
         self._note_refusal(record, answer, now_s)
@@ -366,6 +368,13 @@
         run = None if target is None else target.runs.get(key)
         return None if run is None or run.run_id != run_id else run
 
+    def _note_begun(self, job_id: str) -> None:
+        """Note that a task of the job has started; an order alone may come to nothing."""
+        record = self.jobs.get(job_id)
+        if record is not None and record.progress.state is JobState.QUEUED:
+            record.progress.state = JobState.RUNNING
+            self.mark_changed(record)
+
     def _apply_end(self, target: TargetRecord, ended: EndedRun, now_s: float) -> None:
         run = target.runs.get(ended.key)
         record = self.jobs.get(ended.key.job_id)
@@ -377,6 +386,7 @@
         if not record.has_task(ended.key):
             log.warning('target %s: ends %s, no task', target.entry.target_id, ended.key)
             return
+        self._note_begun(ended.key.job_id)
         self._note_outcome(record, target, ended, now_s)
         self.requeue(ended.key)
 
@@ -436,6 +446,7 @@
         self, target: TargetRecord, key: TaskKey, run_id: int, now_s: float
     ) -> list[Order]:
         run = target.runs.get(key)
+        self._note_begun(key.job_id)
         if run is not None and run.run_id == run_id:
             if run.state is RunState.UNCONFIRMED:
                 run.state = RunState.RUNNING
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -7,7 +7,6 @@
 from comfreywind.decisions.scheduling.placement import TargetRoom, choose_rack, find_request
 from comfreywind.decisions.scheduling.room_index import NO_COUNTS, RoomIndex
 from comfreywind.decisions.scheduling.work_order import FindTurn, JobStanding, find_turn
-from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.task_key import TaskKey
@@ -139,9 +138,6 @@
                 orders.extend(self._start_gang(record, keys, allowed))
             else:
                 orders.extend(self._start_tasks(record, keys, allowed))
-        if orders and record.progress.state is JobState.QUEUED:
-            record.progress.state = JobState.RUNNING
-            self._board.mark_changed(record)
 
     def _start_tasks(
         self, record: JobRecord, keys: list[TaskKey], allowed: Collection[str] | None
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -13,7 +13,7 @@
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.jobs.team import Team
-from comfreywind.scheduling.orders import PaceOrder
+from comfreywind.scheduling.orders import PaceOrder, StartOrder
 from comfreywind.scheduling.run_record import RunState
 from tests.helpers.board_rig import JOB_ID, QUEUE, STEP, TEAM, BoardRig, list_stops, make_job
 
@@ -85,6 +85,45 @@
     assert bool(rig.plan()) is restarted
 
 
+@pytest.mark.parametrize(
+    ('answer', 'pending'),
+    [
+        (StartAnswer.STARTED, 0),
+        (StartAnswer.UNKNOWN, 1),
+        (StartAnswer.NO_ROOM, 1),
+        (StartAnswer.UNHEALTHY, 1),
+    ],
+)
+def test_pending_until_begun(answer: StartAnswer, pending: int) -> None:
+    """Guards against jobs said to have begun when their starts were ordered and came to nothing.
+
+    Seen on prevoz-plan-large quiet-1, seed 236301455: starts timed out, and 0 jobs were said to wait
+    while 13 had waited for five seconds.
+    """
+    rig = BoardRig()
+    rig.add_job()
+    (order,) = rig.plan()
+    assert isinstance(order, StartOrder)
+    assert rig.board.count_pending() == {QUEUE.name: 1}
+    rig.answer(order, answer)
+    assert rig.board.count_pending().get(QUEUE.name, 0) == pending
+
+
+@pytest.mark.parametrize('listed', ['active', 'ended'])
+def test_begun_by_report(listed: str) -> None:
+    """Guards against a job said to wait although its target shows what it has begun."""
+    rig = BoardRig()
+    rig.add_job(make_job(replace(STEP, task_count=2)))
+    order = rig.plan()[0]
+    assert isinstance(order, StartOrder)
+    rig.answer(order, StartAnswer.UNKNOWN)
+    if listed == 'active':
+        rig.report(order.target_id, active=((order.key, order.run_id),))
+    else:
+        rig.report(order.target_id, ended=((order.key, order.run_id, RunOutcome.STOPPED),))
+    assert not rig.board.count_pending()
+
+
 def test_start_without_answer() -> None:
     """Guards against two runs when an order without an answer is carried out late.
 
