Store the targets that may have runs beside planning, not before it

Ruled out: fewer writes, as each new target must be in the row before its first run. Now the row has a task of its own and each target a gate: work goes on to those that are stored.

--- a/comfreywind/lab/emulator.py
+++ b/comfreywind/lab/emulator.py
@@ -102,7 +102,7 @@
             frozenset((vm.rack,)),
             1,
         )
-        self._board.set_target(entry, self._now_s)
+        self._board.set_target(entry, self._now_s).rostered = True
         vm.arrival_s = self._now_s
         self._report(vm)
 
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -7,27 +7,23 @@
 import trio
 
 from comfreywind.clock import Clock
-from comfreywind.decisions.scheduling.handover import may_settle
 from comfreywind.decisions.scheduling.pool_size import USUAL_POLICY
-from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.errors import StoreUnavailableError
 from comfreywind.jobs.job_codec import decode_job, decode_progress
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.row_format import RowFormatError
 from comfreywind.jobs.tables import (
     CANCEL_SUFFIX,
-    HOLDER_PART,
     INTAKE_PARTS,
     PROGRESS_PARTS,
-    ROSTER_KEY,
     TABLE_INTAKE,
     TABLE_PROGRESS,
-    TABLE_TERM,
 )
 from comfreywind.metrics import Metrics
 from comfreywind.platform.advice_client import AdviceClient
 from comfreywind.platform.concurrent_calls import run_together
 from comfreywind.platform.rows_client import RowsClient
-from comfreywind.platform.stored_row import RowChange, StoredRow
+from comfreywind.platform.stored_row import StoredRow
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.platform.target_codec import decode_target
 from comfreywind.platform.vm_client import VmClient
@@ -40,11 +36,12 @@
 from comfreywind.scheduling.pool_keeper import PoolKeeper
 from comfreywind.scheduling.pool_sizer import PoolSizer
 from comfreywind.scheduling.progress_journal import ProgressJournal
+from comfreywind.scheduling.roster import Roster
 from comfreywind.scheduling.row_feed import RowFeed
 from comfreywind.scheduling.rules_follower import RulesFollower
-from comfreywind.scheduling.target_link import LONGEST_WAIT_S, UNSEEN_LAPSE_S, TargetLink
+from comfreywind.scheduling.settlement import Settlement
+from comfreywind.scheduling.target_link import LONGEST_WAIT_S, TargetLink
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
-from comfreywind.scheduling.term_row import decode_roster, encode_roster
 from comfreywind.scheduling.upkeep_keeper import UpkeepKeeper
 from comfreywind.scheduling.vm_watch import VmWatch
 from comfreywind.settings.address import Address
@@ -57,12 +54,8 @@
 PLAN_PAUSE_RATIO = 2
 TICK_S = 0.1
 RETRY_S = 0.2
-# Well under the answer of a calm store, so that looking adds nothing to a change of the holder.
-SETTLE_INTERVAL_S = 0.03
 # The users fetch metrics every 5 s.
 LEVELS_INTERVAL_S = 1.0
-# A target that is gone may stay in the roster so long; that only delays a later holder.
-ROSTER_INTERVAL_S = 1.0
 MS_PER_S = 1000
 
 log = logging.getLogger('comfreywind.holder')
@@ -99,12 +92,10 @@
         self._old_progress: dict[str, tuple[Progress, int]] = {}
         self._progress_loaded = trio.Event()
         self._unreadable_jobs: set[str] = set()
-        self._old_roster: frozenset[str] = frozenset()
-        self._old_roster_known = True
-        self._stored_roster: frozenset[str] = frozenset()
-        self._roster_version = 0
-        self._roster_s = float('-inf')
-        self._settled = False
+        self._roster = Roster(rows, self.board, clock, self._wake_planner)
+        self._settlement = Settlement(
+            term, rows, self.board, self.journal, self._roster, clock, self._is_dead
+        )
         self._watch: VmWatch | None = None
 
     async def run(self) -> None:
@@ -145,7 +136,8 @@
             )
             self._start('tick', self._tick)
             self._start('levels', self._note_levels)
-            self._start('settling', self._settle_old_jobs)
+            self._start('roster', self._roster.run)
+            self._start('settling', partial(self._settlement.run, self._wake_planner))
             if self._settings.advice_address is not None:
                 client = AdviceClient(self._settings.advice_address)
                 advice = AdviceKeeper(client, self._planner, self._clock, self._wake_planner)
@@ -185,16 +177,13 @@
                 return
 
     async def _read_state(self) -> None:
-        await run_together((self._read_progress, self._read_roster, self._turns.load))
+        await run_together((self._read_progress, self._roster.load, self._turns.load))
 
     async def _read_progress(self) -> None:
         for page in await self._rows.read_parts(TABLE_PROGRESS, PROGRESS_PARTS):
             for row in page.rows:
                 self._note_old_progress(row)
 
-    async def _read_roster(self) -> None:
-        self._take_old_roster(await self._rows.read_row(TABLE_TERM, HOLDER_PART, ROSTER_KEY))
-
     def _note_old_progress(self, row: StoredRow) -> None:
         if row.payload is None:
             return
@@ -205,15 +194,6 @@
             self._unreadable_jobs.add(row.key)
             log.warning('job %s is not scheduled: %s', row.key, error)
 
-    def _take_old_roster(self, row: StoredRow) -> None:
-        self._roster_version = row.version
-        try:
-            self._old_roster = decode_roster(row.payload)
-        except RowFormatError as error:
-            self._old_roster_known = False
-            log.warning('starts of older jobs wait until all earlier runs have lapsed: %s', error)
-        self._stored_roster = self._old_roster
-
     def _start_vm_tasks(self, address: Address) -> None:
         client = VmClient(address, self._may_order)
         self._watch = VmWatch(client, self.board, self._clock)
@@ -224,12 +204,16 @@
         needed = partial(self._needs_list, upkeep, pools)
         self._start('VM list', partial(self._watch.run, needed, self._wake_planner))
 
+    def _is_dead(self, target_id: str) -> bool:
+        """Return whether the list of VMs shows that the target's life is over."""
+        return self._watch is not None and self._watch.is_dead(target_id, self._term.taken_s)
+
     def _needs_list(self, upkeep: UpkeepKeeper, pools: PoolKeeper) -> bool:
         return upkeep.is_busy() or pools.is_busy() or self._has_doubt()
 
     def _has_doubt(self) -> bool:
         """Return whether the list of VMs could tell that runs have ended with their VM."""
-        if not self._settled:
+        if not self._settlement.done:
             return True
         return any(record.silent and record.runs for record in self.board.targets.values())
 
@@ -283,7 +267,7 @@
         # A job has no progress row before its first change.
         progress, version = self._old_progress.pop(row.key, (Progress(), 0))
         new = row.version > self._term.taken_version
-        self.board.add_job(job, progress, version, settled=new or self._settled)
+        self.board.add_job(job, progress, version, settled=new or self._settlement.done)
         self._wake.set()
 
     # Targets
@@ -366,7 +350,8 @@
             await trio.sleep(pause_s)
             self._wake = trio.Event()
             started_s = trio.current_time()
-            if self._keeper.is_valid() and await self._store_roster():
+            self._roster.update()
+            if self._keeper.is_valid():
                 self._plan()
                 self._metrics.record_duration('plan', trio.current_time() - started_s)
             pause_s = max(GATHER_S, PLAN_PAUSE_RATIO * (trio.current_time() - started_s))
@@ -381,85 +366,3 @@
         self._send(self._planner.plan(now_s, now_ms))
         if self.board.changed_jobs:
             self.journal.wake()
-
-    async def _settle_old_jobs(self) -> None:
-        """Look until the older jobs may be started; a slow store must not hold up planning."""
-        while not self._settled:
-            await trio.sleep(SETTLE_INTERVAL_S)
-            await self._try_to_settle()
-
-    async def _try_to_settle(self) -> None:
-        """Allow starts of older jobs once no run of an earlier holder can be unseen.
-
-        Until this holder's fence had reached a target, the earlier one could still store ends and
-        acknowledge them there. So the progress is read once more after that.
-        """
-        waited_s = self._clock.read_monotonic_s() - self._term.taken_s
-        unseen = [target_id for target_id in self._old_roster if self._is_unseen(target_id)]
-        if not may_settle(len(unseen), self._old_roster_known, waited_s, UNSEEN_LAPSE_S):
-            return
-        try:
-            await self._join_progress()
-        except StoreUnavailableError as error:
-            log.info('term %d: progress is not read again yet: %s', self._term.epoch, error)
-            return
-        self._settled = True
-        self.board.settle(self.board.jobs.values())
-        self._wake.set()
-        log.info(
-            'term %d: settled after %.2f s, %d targets not seen',
-            self._term.epoch,
-            waited_s,
-            len(unseen),
-        )
-
-    async def _join_progress(self) -> None:
-        for page in await self._rows.read_parts(TABLE_PROGRESS, PROGRESS_PARTS):
-            for row in page.rows:
-                record = self.board.jobs.get(row.key)
-                if record is not None and row.version > record.progress_version:
-                    self.journal.merge_row(record, row)
-
-    def _is_unseen(self, target_id: str) -> bool:
-        record = self.board.targets.get(target_id)
-        if record is not None and record.reported:
-            return False
-        return self._watch is None or not self._watch.is_dead(target_id, self._term.taken_s)
-
-    async def _store_roster(self) -> bool:
-        """Store the targets that may get runs before the first run; return whether they are."""
-        now_s = self._clock.read_monotonic_s()
-        roster = frozenset(
-            target_id
-            for target_id, record in self.board.targets.items()
-            if record.reported and (record.runs or not (record.leaving or record.silent))
-        )
-        if not self._settled:
-            roster |= self._old_roster
-        grown = bool(roster - self._stored_roster)
-        shrunk = roster != self._stored_roster and now_s - self._roster_s > ROSTER_INTERVAL_S
-        if not grown and not shrunk:
-            return True
-        self._roster_s = now_s
-        changes = [
-            RowChange(TABLE_TERM, ROSTER_KEY, encode_roster(roster), self._roster_version),
-        ]
-        try:
-            self._roster_version = await self._rows.commit(HOLDER_PART, changes)
-        except RowsChangedError as error:
-            self._note_roster(error.rows)
-            return False
-        except StoreUnavailableError as error:
-            log.info('roster is not stored: %s', error)
-            return False
-        self._stored_roster = roster
-        return True
-
-    def _note_roster(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            self._roster_version = row.version
-            try:
-                self._stored_roster = decode_roster(row.payload)
-            except RowFormatError as error:
-                self._stored_roster = frozenset()
-                log.warning('the roster is written anew: %s', error)
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -13,7 +13,9 @@
     """What runs on a target and how well it answers; times on the holder's steady clock.
 
     `applied_number` is the highest end that the holder has seen, `stored_number` the highest whose
-    consequences the store holds, and `acknowledged_number` the highest that the target was told. `lease_end_s` is when everything there has certainly lapsed.
+    consequences the store holds, and `acknowledged_number` the highest that the target was told. `lease_end_s` is when
+    everything there has certainly lapsed. `rostered` tells that the row for a later holder names
+    the target, without which nothing may be started on it.
     """
 
     entry: TargetEntry
@@ -24,6 +26,7 @@
     stored_number: int = 0
     acknowledged_number: int = 0
     reported: bool = False
+    rostered: bool = False
     silent: bool = False
     lease_end_s: float = 0
     barred_until_s: float = 0
@@ -39,7 +42,7 @@
     def may_start(self, now_s: float) -> bool:
         """Return whether new work may be given to the target."""
         unavailable = self.entry.draining or self.leaving or self.emptying
-        unheard = self.silent or not self.reported
+        unheard = self.silent or not (self.reported and self.rostered)
         # After a row of failures one task shows whether the target works again.
         short_runs = not all(run.lasting for run in self.runs.values())
         probing = self.failure_streak > 1 and short_runs
--- /dev/null
+++ b/tests/scheduling/test_roster.py
@@ -0,0 +1,117 @@
+"""The row of targets that may have runs, while the store is slow or answers are lost.
+
+Pattern: write-ahead in a task of its own, with a gate for each target, in place of a write that all
+work waits for. Seen in the log of prevoz-plan-large, whose 1,700 moves a day register as many new
+targets: each plan waited for a transaction, up to a second with a slow store.
+"""
+
+from collections.abc import Sequence
+from typing import cast
+
+import trio
+
+from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.platform.rows_client import RowsClient
+from comfreywind.platform.stored_row import RowChange, StoredRow
+from comfreywind.scheduling.roster import RETRY_S, SHRINK_INTERVAL_S, Roster
+from comfreywind.scheduling.term_row import decode_roster
+from tests.helpers.board_rig import BoardRig, make_job
+from tests.helpers.trio_clock import TrioClock
+
+COMMIT_S = 1.0
+OTHER_JOB_ID = '00000000000000a2'
+
+
+class SlowStore:
+    """A row that takes a second to write; some answers are lost or refused."""
+
+    def __init__(self) -> None:
+        """Start without a row."""
+        self.payload: bytes | None = None
+        self.version = 0
+        self.faults: list[Exception] = []
+
+    async def commit(self, part: str, changes: Sequence[RowChange]) -> int:
+        """Write the row, or raise the next fault."""
+        (change,) = changes
+        await trio.sleep(COMMIT_S)
+        if change.expected_version != self.version:
+            row = StoredRow(change.table, part, change.key, self.payload, self.version)
+            raise RowsChangedError((row,))
+        self.payload, self.version = change.payload, self.version + 1
+        if self.faults:
+            raise self.faults.pop()
+        return self.version
+
+    def list_names(self) -> frozenset[str]:
+        """Return the targets that the row names."""
+        return decode_roster(self.payload)
+
+
+def make_roster(rig: BoardRig, store: SlowStore) -> Roster:
+    """Return the roster of the board."""
+    return Roster(cast('RowsClient', store), rig.board, TrioClock(), lambda: None)
+
+
+def add_new_target(rig: BoardRig, name: str) -> None:
+    """Register a target that has reported and is not in the row yet."""
+    rig.add_target(name)
+    rig.board.targets[name].rostered = False
+
+
+async def test_work_goes_on(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against plans that wait for a slow store whenever a target registers."""
+    rig, store = BoardRig(targets=1, cpu=1000), SlowStore()
+    rig.add_job()
+    rig.add_job(make_job(job_id=OTHER_JOB_ID))
+    async with trio.open_nursery() as nursery:
+        add_new_target(rig, 'late')
+        roster = make_roster(rig, store)
+        nursery.start_soon(roster.run)
+        roster.update()
+        await trio.sleep(0.1)
+        assert [order.target_id for order in rig.start()] == ['t0']
+        assert not rig.plan()
+        await trio.sleep(COMMIT_S)
+        assert store.list_names() == {'t0', 'late'}
+        assert [order.target_id for order in rig.start()] == ['late']
+        nursery.cancel_scope.cancel()
+
+
+async def test_lost_answers(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a target that never gets work because the answer to its write was lost."""
+    rig, store = BoardRig(targets=0), SlowStore()
+    store.faults = [StoreUnavailableError('lost'), StoreUnavailableError('lost')]
+    add_new_target(rig, 'late')
+    async with trio.open_nursery() as nursery:
+        roster = make_roster(rig, store)
+        nursery.start_soon(roster.run)
+        roster.update()
+        while not rig.board.targets['late'].rostered:
+            await trio.sleep(0.01)
+            assert trio.current_time() < 6 * (COMMIT_S + RETRY_S)
+        assert store.list_names() == {'late'}
+        nursery.cancel_scope.cancel()
+
+
+async def test_target_leaves_the_row(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a start on a target while a row without it is being written."""
+    rig, store = BoardRig(targets=0), SlowStore()
+    add_new_target(rig, 'late')
+    async with trio.open_nursery() as nursery:
+        roster = make_roster(rig, store)
+        nursery.start_soon(roster.run)
+        roster.update()
+        await trio.sleep(COMMIT_S + SHRINK_INTERVAL_S)
+        record = rig.board.targets['late']
+        record.silent = True
+        roster.update()
+        await trio.sleep(0.1)
+        record.silent = False
+        assert not record.may_start(rig.now_s)
+        with trio.fail_after(5 * COMMIT_S):
+            while not record.may_start(rig.now_s):
+                roster.update()
+                await trio.sleep(0.1)
+        assert store.list_names() == {'late'}
+        nursery.cancel_scope.cancel()
