Count VMs that wait for the roster as usable when pools are sized

Cause: with the gate of the roster a target that has come counts as neither arriving nor usable until its row is stored, so a slow store would have VMs ordered twice. test_slow_roster_orders_no_more fails on the code before.

--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -102,7 +102,7 @@
             pool=pool.name,
             standby=pool.standby,
             load_vms=load_vms,
-            usable=sum(target.may_start(now_s) for target in targets),
+            usable=sum(target.is_usable(now_s) for target in targets),
             arriving=sum(destination == pool.name for destination in self._destinations.values()),
             idle_vms=tuple(vm.name for vm in vms if self._is_idle(vm, pool.standby)),
             even_share_vms=even_share_vms,
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -40,9 +40,13 @@
         return self.entry.capacity.subtract(self.used)
 
     def may_start(self, now_s: float) -> bool:
-        """Return whether new work may be given to the target."""
+        """Return whether new work may be given to the target at this moment."""
+        return self.rostered and self.is_usable(now_s)
+
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether the target takes new work once the roster names it."""
         unavailable = self.entry.draining or self.leaving or self.emptying
-        unheard = self.silent or not (self.reported and self.rostered)
+        unheard = self.silent or not self.reported
         # After a row of failures one task shows whether the target works again.
         short_runs = not all(run.lasting for run in self.runs.values())
         probing = self.failure_streak > 1 and short_runs
--- a/tests/scheduling/test_pool_sizer.py
+++ b/tests/scheduling/test_pool_sizer.py
@@ -1,14 +1,17 @@
 """Which VMs move between pools, from the board and the list of VMs."""
 
+from dataclasses import replace
+
 import pytest
 
 from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
 from comfreywind.decisions.scheduling.pool_size import VmMove
 from comfreywind.jobs.pool import Pool
 from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.step import Step
 from comfreywind.jobs.vm import Vm
 from comfreywind.scheduling.pool_sizer import PoolSizer
-from tests.helpers.board_rig import POOL, BoardRig
+from tests.helpers.board_rig import POOL, BoardRig, make_job
 
 POOLS = (Pool(POOL), Pool('standby', standby=True))
 VMS = {
@@ -52,3 +55,16 @@
     rig = BoardRig(targets=4)
     sizer = PoolSizer(rig.board, POLICY, is_open=lambda vm: vm == 'vm3')
     assert choose_later(sizer, rig) == [VmMove('vm3', 'standby')]
+
+
+def test_slow_roster_orders_no_more() -> None:
+    """Guards against VMs that are ordered twice while a slow store takes in those that came."""
+    rig = BoardRig(targets=4)
+    standby = Vm('vm9', 'standby', True, 'dc', frozenset(), Resources(4000, 10_000), 'off')
+    for number in range(8):
+        rig.add_job(make_job(Step(2, Resources(1000, 100)), job_id=f'{number:016x}'))
+    rig.start()
+    for record in rig.board.targets.values():
+        record.rostered = False
+    sizer = PoolSizer(rig.board, replace(POLICY, target_fill=1))
+    assert not sizer.choose(POOLS, {**VMS, 'vm9': standby}, rig.now_s)
