Start lasting tasks away from VMs that are due for upkeep

Lasting tasks now rank VMs of an open wave behind all others; short tasks don't care. Ruled out: emptying more VMs at once, as the step bears only one task away.

--- a/comfreywind/decisions/scheduling/placement.py
+++ b/comfreywind/decisions/scheduling/placement.py
@@ -9,12 +9,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetRoom:
-    """A target that may take a task: what is free on it, and whether tasks there serve users."""
+    """A target that may take a task: what is free on it, and whether tasks there serve users.
+
+    `due` tells that its VM goes down for upkeep soon.
+    """
 
     target_id: str
     free: Resources
     labels: frozenset[str]
     serving: bool = False
+    due: bool = False
 
 
 def find_request(step: Step) -> Resources:
--- a/comfreywind/decisions/scheduling/room_index.py
+++ b/comfreywind/decisions/scheduling/room_index.py
@@ -8,13 +8,13 @@
 from comfreywind.decisions.scheduling.placement import TargetRoom, find_request
 from comfreywind.jobs.step import Step
 
-Rank = tuple[bool, float, bool, bool]
+Rank = tuple[bool, bool, float, bool, bool]
 NO_TARGETS: frozenset[str] = frozenset()
 NO_COUNTS: Mapping[str, int] = {}
-# Nothing speaks against a target: not avoided, not crowded, disturbs nobody, near the data.
-BEST_RANK: Rank = (False, 0, False, False)
+# Nothing speaks against a target: not avoided, not due, not crowded, disturbs nobody, near the data.
+BEST_RANK: Rank = (False, False, 0, False, False)
 # After the rank of any target.
-WORST_RANK: Rank = (True, math.inf, True, True)
+WORST_RANK: Rank = (True, True, math.inf, True, True)
 
 
 class RoomIndex:
@@ -50,6 +50,7 @@
     ) -> TargetRoom | None:
         """Return the target for one task of the step, or None when none fits.
 
+        A lasting task keeps away from VMs that are due for upkeep, where it would soon end again.
         Tasks of a step that bears few losses are spread, so that one VM can go down with its task.
         Fillers keep away from tasks that serve users, whose tails they would lengthen.
         The rack of the step's data comes first, then the target with the least free processor time:
@@ -97,4 +98,4 @@
 def _find_rank(step: Step, avoided: bool, same_step: int, room: TargetRoom) -> Rank:
     remote = bool(step.preferred_rack) and step.preferred_rack not in room.labels
     crowd = same_step if step.unavailable_limit else 0
-    return (avoided, crowd, step.filler and room.serving, remote)
+    return (avoided, step.lasting and room.due, crowd, step.filler and room.serving, remote)
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -311,6 +311,7 @@
         target.free,
         target.entry.labels,
         serving=any(run.tail_limit_ms for run in target.runs.values()),
+        due=target.due,
     )
 
 
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -15,7 +15,8 @@
     `applied_number` is the highest end that the holder has seen, `stored_number` the highest whose
     consequences the store holds, and `acknowledged_number` the highest that the target was told. `lease_end_s` is when
     everything there has certainly lapsed. `rostered` tells that the row for a later holder names
-    the target, without which nothing may be started on it.
+    the target, without which nothing may be started on it. `due` marks a VM of an open wave of
+    upkeep.
     """
 
     entry: TargetEntry
@@ -27,6 +28,7 @@
     acknowledged_number: int = 0
     reported: bool = False
     rostered: bool = False
+    due: bool = False
     silent: bool = False
     lease_end_s: float = 0
     barred_until_s: float = 0
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -134,11 +134,18 @@
             for name in wave.vms
             if name in self._watch.vms and name not in done
         ]
+        self._mark_due(due)
         await self._tell(wave, complete=not due)
         # An upkeep of an earlier holder may still be under way and counts against the wave's limit.
         if self._turns.is_over():
             await self._empty_and_order(wave, due, orders, now_s)
 
+    def _mark_due(self, due: list[Vm]) -> None:
+        for vm in due:
+            record = self._board.targets.get(vm.target_id)
+            if record is not None:
+                record.due = True
+
     def _settle_orders(self, orders: dict[str, VmOrder], done: set[str], now_s: float) -> None:
         for name, order in list(orders.items()):
             vm = self._watch.vms.get(name)
@@ -171,6 +178,7 @@
     def _keep_working(self, target_id: str) -> None:
         record = self._board.targets.get(target_id)
         if record is not None:
+            record.due = False
             self._board.take_back_order(record)
         self._emptying_since_s.pop(target_id, None)
 
--- a/tests/scheduling/test_room_index.py
+++ b/tests/scheduling/test_room_index.py
@@ -28,6 +28,7 @@
         st.builds(Resources, st.integers(0, 6), st.integers(0, 6), st.integers(0, 1)),
         st.frozensets(st.sampled_from(['r1', 'r2', 'big']), max_size=2),
         st.booleans(),
+        st.booleans(),
     ),
     unique_by=lambda room: room.target_id,
 )
@@ -38,6 +39,7 @@
     required_label=st.sampled_from(['', 'big']),
     preferred_rack=st.sampled_from(['', 'r1']),
     target_limit=st.integers(0, 2),
+    lasting=st.booleans(),
     filler=st.booleans(),
     unavailable_limit=st.integers(0, 1),
 )
@@ -64,6 +66,7 @@
                 continue
             yield (
                 room.target_id in avoided,
+                step.lasting and room.due,
                 count if step.unavailable_limit else 0,
                 step.filler and room.serving,
                 bool(step.preferred_rack) and step.preferred_rack not in room.labels,
--- a/tests/scheduling/test_upkeep_rounds.py
+++ b/tests/scheduling/test_upkeep_rounds.py
@@ -45,6 +45,7 @@
         self.version = 0
         self.ordered_s = 0.0
         self.restarts_s: list[float] = []
+        self.restarted_on: list[str] = []
         self.rules = JobRules(1)
         wave = UpkeepWave(1, tuple(names[:VMS]), VMS, 60)
         self.waves = {1: wave}
@@ -98,6 +99,7 @@
             for order in self.rig.plan():
                 if isinstance(order, StartOrder):
                     self.at_work_s[order.target_id] = trio.current_time() + WARM_UP_S
+                    self.restarted_on.append(order.target_id)
                     self.restarts_s.append(trio.current_time() - self.ordered_s)
             for record in self.rig.board.targets.values():
                 for run in record.runs.values():
@@ -121,7 +123,9 @@
         nursery.start_soon(fleet.serve)
         nursery.start_soon(watch.run, keeper.is_busy, lambda: None)
         await trio.sleep(2 * WARM_UP_S)
+        due = set(fleet.restarted_on)
         fleet.restarts_s.clear()
+        fleet.restarted_on.clear()
         nursery.start_soon(keeper.run)
         with trio.move_on_after(VMS * 4):
             while keeper.is_busy():
@@ -130,3 +134,5 @@
     assert not keeper.is_busy()
     assert fleet.restarts_s
     assert max(fleet.restarts_s) < RESTART_LIMIT_S
+    # A task that is moved to a VM which is due as well has to be moved once more.
+    assert due.isdisjoint(fleet.restarted_on)
