--- a/tests/scheduling/test_upkeep_rounds.py
+++ b/tests/scheduling/test_upkeep_rounds.py
@@ -34,12 +34,13 @@
     """Targets and the VM service; the store and the term never fail."""
 
     def __init__(self) -> None:
-        """Run a lasting step with one task on each VM that is due, of which one may be away."""
-        self.rig = BoardRig(targets=2 * VMS, cpu=1_000)
-        step = Step(VMS, Resources(1_000, 100), lasting=True, unavailable_limit=1)
+        """Run a lasting step with one task on each VM, of which one may be away; half of them are due."""
+        self.rig = BoardRig(targets=2 * VMS, cpu=2_000)
+        step = Step(2 * VMS, Resources(1_000, 100), lasting=True, unavailable_limit=1)
         self.rig.add_job(make_job(step))
-        vm = Vm('', POOL, True, 'dc', frozenset(), Resources(1_000, 100), '')
-        names = [f't{number}' for number in range(2 * VMS)]
+        vm = Vm('', POOL, True, 'dc', frozenset(), Resources(2_000, 100), '')
+        # Those that are due come first where nothing else decides.
+        names = sorted(f't{number}' for number in range(2 * VMS))
         self.vms = {name: replace(vm, name=name, target_id=name) for name in names}
         self.at_work_s: dict[str, float] = {}
         self.version = 0
@@ -70,7 +71,7 @@
     async def _bring_back(self, taken: Vm) -> None:
         await trio.sleep(UPKEEP_S)
         self.vms[taken.name] = replace(taken, target_id=f'{taken.target_id}-later')
-        self.rig.add_target(f'{taken.target_id}-later', 1_000)
+        self.rig.add_target(f'{taken.target_id}-later', 2_000)
 
     async def read_row(self, *_: Any) -> Any:
         """Return a row that does not exist."""
@@ -123,7 +124,7 @@
         nursery.start_soon(fleet.serve)
         nursery.start_soon(watch.run, keeper.is_busy, lambda: None)
         await trio.sleep(2 * WARM_UP_S)
-        due = set(fleet.restarted_on)
+        due = {name for wave in fleet.waves.values() for name in wave.vms}
         fleet.restarts_s.clear()
         fleet.restarted_on.clear()
         nursery.start_soon(keeper.run)
