Count an upkeep as done for later holders when it has begun

A VM was stored as done when it was back, 2.3 s after its order; a holder that lost the term before that left its successor to order it again, one by one where a step bears one task away. The answer 200 says that the upkeep has begun (or was done), so the VM is stored then; a wave stays open for this holder until its VMs are back. Also: connect() closes its socket without a look at types.

--- a/comfreywind/http/buffered_stream.py
+++ b/comfreywind/http/buffered_stream.py
@@ -67,9 +67,10 @@
     socket = trio.socket.socket()
     try:
         await socket.connect((address.host, address.port))
-    except BaseException as error:
+    except OSError as error:
+        socket.close()
+        raise httpcore.ConnectError(str(error)) from error
+    except BaseException:
         socket.close()
-        if isinstance(error, OSError):
-            raise httpcore.ConnectError(str(error)) from error
         raise
     return BufferedStream(trio.SocketStream(socket))
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -80,6 +80,7 @@
         self._emptying_since_s: dict[str, float] = {}
         self._done: dict[int, set[str]] = {}
         self._done_version = 0
+        self._stored_count = 0
         self._told: dict[int, bool] = {}
 
     async def run(self) -> None:
@@ -99,7 +100,9 @@
 
     def _list_open(self) -> list[UpkeepWave]:
         return [
-            wave for number, wave in self._rules.waves.items() if not self._told.get(number, False)
+            wave
+            for number, wave in self._rules.waves.items()
+            if self._orders.get(number) or not self._told.get(number, False)
         ]
 
     async def _load(self) -> None:
@@ -112,6 +115,7 @@
             else:
                 self._done = _read_done(row)
                 self._done_version = row.version
+                self._stored_count = sum(map(len, self._done.values()))
                 return
 
     async def _step(self) -> None:
@@ -125,10 +129,8 @@
     async def _advance(self, wave: UpkeepWave, now_s: float) -> None:
         done = self._done.setdefault(wave.wave, set())
         orders = self._orders.setdefault(wave.wave, {})
-        before = len(done)
         self._settle_orders(orders, done, now_s)
-        if len(done) > before:
-            await self._store_done()
+        await self._store_done()
         due = [
             self._watch.vms[name]
             for name in wave.vms
@@ -211,6 +213,7 @@
         listed = [self._watch.vms[name] for name in repeated if name in self._watch.vms]
         for vm in listed:
             await self._order(wave, vm, orders)
+        await self._store_done()
 
     def _is_ready(self, vm: Vm, left_s: float) -> bool:
         """Return whether a VM that is being emptied may go down; move tasks that are in the way."""
@@ -280,18 +283,26 @@
         log.info('VM %s: upkeep in wave %d: %s', vm.name, wave.wave, answer)
         if answer is VmOrderAnswer.DONE:
             order.confirmed_s = self._clock.read_monotonic_s()
+            # The upkeep has begun; a later holder must not order it again.
+            self._done[wave.wave].add(vm.name)
             self._watch.refresh()
         elif answer is VmOrderAnswer.REFUSED:
             del orders[vm.name]
             self._keep_working(vm.target_id)
 
     async def _store_done(self) -> None:
+        """Store which VMs have had their upkeep, or are down for it, when there are more."""
+        count = sum(map(len, self._done.values()))
+        if count == self._stored_count:
+            return
         change = RowChange(TABLE_TERM, UPKEEP_KEY, encode_upkeep(self._done), self._done_version)
         try:
             self._done_version = await self._rows.commit(HOLDER_PART, [change])
         except RowsChangedError as error:
             for row in error.rows:
                 self._done_version = row.version
+        else:
+            self._stored_count = count
 
     async def _tell(self, wave: UpkeepWave, complete: bool) -> None:
         """Tell the operator how far the wave is; complete once, when nothing is due."""
--- a/tests/scheduling/test_upkeep_rounds.py
+++ b/tests/scheduling/test_upkeep_rounds.py
@@ -5,6 +5,7 @@
 the list was next read, and the wave was late.
 """
 
+from collections import Counter
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
@@ -16,6 +17,7 @@
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.upkeep_wave import UpkeepWave
 from comfreywind.jobs.vm import Vm
+from comfreywind.platform.stored_row import RowChange
 from comfreywind.platform.vm_client import VmOrderAnswer
 from comfreywind.scheduling.orders import StartOrder
 from comfreywind.scheduling.upkeep_keeper import UpkeepKeeper
@@ -44,6 +46,8 @@
         self.vms = {name: replace(vm, name=name, target_id=name) for name in names}
         self.at_work_s: dict[str, float] = {}
         self.version = 0
+        self.rows: dict[str, bytes | None] = {}
+        self.orders: Counter[str] = Counter()
         self.ordered_s = 0.0
         self.restarts_s: list[float] = []
         self.restarted_on: list[str] = []
@@ -63,6 +67,7 @@
     async def maintain(self, vm: str, *_: Any) -> VmOrderAnswer:
         """Take a VM down at once and bring it back after its upkeep, as another target."""
         taken = self.vms[vm]
+        self.orders[vm] += 1
         self.ordered_s = trio.current_time()
         self.vms[vm] = replace(taken, up=False)
         self.nursery.start_soon(self._bring_back, taken)
@@ -73,12 +78,13 @@
         self.vms[taken.name] = replace(taken, target_id=f'{taken.target_id}-later')
         self.rig.add_target(f'{taken.target_id}-later', 2_000)
 
-    async def read_row(self, *_: Any) -> Any:
-        """Return a row that does not exist."""
-        return SimpleNamespace(payload=None, version=0)
+    async def read_row(self, table: str, part: str, key: str) -> Any:
+        """Return a row."""
+        return SimpleNamespace(payload=self.rows.get(key), version=self.version)
 
-    async def commit(self, *_: Any) -> int:
+    async def commit(self, part: str, changes: list[RowChange]) -> int:
         """Store everything."""
+        self.rows.update((change.key, change.payload) for change in changes)
         self.version += 1
         return self.version
 
@@ -109,16 +115,21 @@
             await trio.sleep(0.02)
 
 
-async def test_one_at_a_time(autojump_clock: trio.testing.MockClock) -> None:
-    """Guards against a wave that is late because of the time between two VMs of one step."""
-    fleet = cast('Any', Fleet())
+def make_keeper(fleet: Any, watch: VmWatch) -> UpkeepKeeper:
+    """Return the keeper of a holder that takes over now."""
     clock = TrioClock()
-    watch = VmWatch(fleet, fleet.rig.board, clock)
     term = cast('Any', SimpleNamespace(epoch=1, taken_s=clock.read_monotonic_s()))
     board = fleet.rig.board
-    keeper = UpkeepKeeper(
+    return UpkeepKeeper(
         term, 'n', fleet, fleet, fleet, watch, fleet, fleet, board, clock, lambda orders: None
     )
+
+
+async def test_one_at_a_time(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a wave that is late because of the time between two VMs of one step."""
+    fleet = cast('Any', Fleet())
+    watch = VmWatch(fleet, fleet.rig.board, TrioClock())
+    keeper = make_keeper(fleet, watch)
     async with trio.open_nursery() as nursery:
         fleet.nursery = nursery
         nursery.start_soon(fleet.serve)
@@ -137,3 +148,33 @@
     assert max(fleet.restarts_s) < RESTART_LIMIT_S
     # A task that is moved to a VM which is due as well has to be moved once more.
     assert due.isdisjoint(fleet.restarted_on)
+
+
+async def test_holders_in_turn(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against upkeeps that each holder of a wave orders anew, and a wave told done late.
+
+    Seen on villacres-quito inc-c184: 22 orders for 15 VMs over four holders, and the wave said to be
+    complete 13 s after its last upkeep.
+    """
+    fleet = cast('Any', Fleet())
+    watch = VmWatch(fleet, fleet.rig.board, TrioClock())
+    async with trio.open_nursery() as nursery:
+        fleet.nursery = nursery
+        nursery.start_soon(fleet.serve)
+        nursery.start_soon(watch.run, lambda: True, lambda: None)
+        await trio.sleep(2 * WARM_UP_S)
+        keeper = make_keeper(fleet, watch)
+        for _ in range(VMS):
+            with trio.move_on_after(1.7):
+                await keeper.run()
+            # Any order of the holder before is carried out or not by now.
+            await trio.sleep(UPKEEP_S)
+            keeper = make_keeper(fleet, watch)
+        with trio.move_on_after(VMS * 4):
+            nursery.start_soon(keeper.run)
+            while keeper.is_busy():
+                await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+    assert not keeper.is_busy()
+    assert set(fleet.orders.values()) == {1}
+    assert len(fleet.orders) == VMS
