--- a/tests/field_faults/test_paused_process.py
+++ b/tests/field_faults/test_paused_process.py
@@ -27,7 +27,6 @@
 
 KEY = TaskKey('00000000000000a1', 0, 0, 0)
 CONNECTIONS = 4
-ANSWER_S = 0.2
 CALLS = 3 * CONNECTIONS
 JOB = '00000000000000a1'
 
@@ -44,25 +43,32 @@
         return self.valid
 
 
-class SlowService:
-    """Counts the requests that reach it, and answers each after a while."""
+class BusyService:
+    """Counts the requests that reach it, and answers none before it is told to."""
 
     def __init__(self) -> None:
         """Start without a request."""
         self.requests = 0
+        self.answers = trio.Event()
+
+    async def wait_until_busy(self) -> None:
+        """Return once all connections of a client carry a request."""
+        with trio.fail_after(5):
+            while self.requests < CONNECTIONS:
+                await trio.sleep(0.01)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Answer the requests of one connection."""
         async for _ in stream:
             self.requests += 1
-            await trio.sleep(ANSWER_S)
+            await self.answers.wait()
             await stream.send_all(b'HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{"clock_ms":1}')
 
 
 @asynccontextmanager
-async def run_service() -> AsyncIterator[tuple[SlowService, Address]]:
+async def run_service() -> AsyncIterator[tuple[BusyService, Address]]:
     """Run a service until the block is left."""
-    service = SlowService()
+    service = BusyService()
     async with trio.open_nursery() as nursery:
         listeners = await nursery.start(partial(trio.serve_tcp, host='127.0.0.1'), service.serve, 0)
         yield service, Address('127.0.0.1', listeners[0].socket.getsockname()[1])
@@ -81,8 +87,9 @@
         async with trio.open_nursery() as nursery:
             for number in range(CALLS):
                 nursery.start_soon(move, number)
-            await trio.sleep(ANSWER_S / 2)
+            await service.wait_until_busy()
             term.valid = False
+            service.answers.set()
         assert service.requests == CONNECTIONS
     assert answers.count(VmOrderAnswer.REFUSED) == CALLS - CONNECTIONS
 
@@ -99,8 +106,9 @@
         async with trio.open_nursery() as nursery:
             for run_id in range(CALLS):
                 nursery.start_soon(start, run_id)
-            await trio.sleep(ANSWER_S / 2)
+            await service.wait_until_busy()
             term.valid = False
+            service.answers.set()
         assert service.requests == CONNECTIONS
         assert answers.count(StartAnswer.EXPIRED) == CALLS - CONNECTIONS
         with pytest.raises(CallNotPermittedError):
@@ -124,6 +132,7 @@
     """Guards against a client that can't call any more after a call that was not permitted."""
     term = Term()
     async with run_service() as (service, address):
+        service.answers.set()
         client = HttpClient(address, 1, 1)
         for valid in (True, False, True):
             term.valid = valid
