Size pools by their scarcest resource, and for lasting tasks that find no room

Pools were sized by processor time alone, so nothing asked for another VM. Ruled out: the ceiling of the team, an earlier refusal in the same plan, the roster. The load is now that of the scarcest resource, and lasting tasks that still wait ask for as many VMs as they would take empty. Tests: test_memory_bound_pool_grows and test_scattered_room (the first fails on the code before; the second was not run on it).

--- a/comfreywind/decisions/scheduling/placement.py
+++ b/comfreywind/decisions/scheduling/placement.py
@@ -37,7 +37,7 @@
     request = find_request(step)
     for room in rooms:
         for label in room.labels:
-            slots = _count_slots(request, room.free)
+            slots = count_slots(request, room.free)
             slots_by_label[label] = slots_by_label.get(label, 0) + slots
     sufficient = [
         (slots, label) for label, slots in slots_by_label.items() if slots >= step.task_count
@@ -45,7 +45,8 @@
     return min(sufficient)[1] if sufficient else None
 
 
-def _count_slots(request: Resources, free: Resources) -> int:
+def count_slots(request: Resources, free: Resources) -> int:
+    """Return how many such requests fit beside each other."""
     pairs = (
         (request.cpu_millicores, free.cpu_millicores),
         (request.memory_mb, free.memory_mb),
--- a/comfreywind/jobs/resources.py
+++ b/comfreywind/jobs/resources.py
@@ -1,5 +1,6 @@
 """Amounts of processor, memory and accelerators."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 
@@ -35,6 +36,18 @@
             or 0 < ceiling.accelerators < self.accelerators
         )
 
+    def find_largest_part(self, whole: 'Resources') -> float:
+        """Return the part of a whole that this amount takes of its scarcest resource.
+
+        What the whole has none of does not count.
+        """
+        pairs = (
+            (self.cpu_millicores, whole.cpu_millicores),
+            (self.memory_mb, whole.memory_mb),
+            (self.accelerators, whole.accelerators),
+        )
+        return max((amount / total for amount, total in pairs if total), default=0)
+
     def fits(self, free: 'Resources') -> bool:
         """Return whether this amount is free in full."""
         return (
@@ -45,3 +58,15 @@
 
 
 NO_RESOURCES = Resources()
+
+
+def sum_resources(amounts: Iterable[Resources]) -> Resources:
+    """Return the sum of all amounts."""
+    cpu_millicores = 0
+    memory_mb = 0
+    accelerators = 0
+    for amount in amounts:
+        cpu_millicores += amount.cpu_millicores
+        memory_mb += amount.memory_mb
+        accelerators += amount.accelerators
+    return Resources(cpu_millicores, memory_mb, accelerators)
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -106,6 +106,7 @@
             arriving=sum(destination == pool.name for destination in self._destinations.values()),
             idle_vms=tuple(vm.name for vm in vms if self._is_idle(vm, pool.standby)),
             even_share_vms=even_share_vms,
+            vms_for_lasting=self._board.count_vms_for_lasting(pool.name),
             expected_vms=surges.note_load(load_vms, now_s),
         )
         if pool.standby or find_surplus(load, self._policy) <= 0:
--- a/tests/scheduling/test_pool_sizer.py
+++ b/tests/scheduling/test_pool_sizer.py
@@ -68,3 +68,32 @@
         record.rostered = False
     sizer = PoolSizer(rig.board, replace(POLICY, target_fill=1))
     assert not sizer.choose(POOLS, {**VMS, 'vm9': standby}, rig.now_s)
+
+
+def test_memory_bound_pool_grows() -> None:
+    """Guards against lasting tasks that wait for memory in a pool whose processors idle.
+
+    Seen on prevoz-plan-large quiet-1, seed 236301455 (LOST): a task of 52 GB waited 9.5 s while each VM
+    of its pool had 48 GB and two thirds of its cores free, and the pool was not enlarged.
+    """
+    rig = BoardRig(targets=4)
+    rig.add_job(make_job(Step(8, Resources(100, 6_000), lasting=True)))
+    rig.start()
+    standby = Vm('vm9', 'standby', True, 'dc', frozenset(), Resources(4000, 10_000), 'off')
+    sizer = PoolSizer(rig.board, POLICY)
+    assert sizer.choose(POOLS, {**VMS, 'vm9': standby}, rig.now_s) == [VmMove('vm9', POOL)]
+
+
+@pytest.mark.parametrize(('target_limit', 'moves'), [(0, 1), (1, 2)])
+def test_scattered_room(target_limit: int, moves: int) -> None:
+    """Guards against lasting tasks that wait while the free memory of a pool lies in small pieces."""
+    rig = BoardRig(targets=4)
+    rig.add_job(make_job(Step(4, Resources(100, 6_000), lasting=True)))
+    rig.start()
+    step = Step(2, Resources(100, 5_000), lasting=True, target_limit=target_limit)
+    rig.add_job(make_job(step, job_id='00000000000000a2'))
+    assert not rig.plan()
+    off = Vm('', 'standby', True, 'dc', frozenset(), Resources(4000, 10_000), 'off')
+    vms = {f'off{number}': replace(off, name=f'off{number}') for number in range(4)}
+    sizer = PoolSizer(rig.board, replace(POLICY, target_fill=1))
+    assert len(sizer.choose(POOLS, {**VMS, **vms}, rig.now_s)) == moves
