Write the roster only while the term is held

Cause, found on reading the change: since the roster has a task of its own, a holder whose term was over, and that did not know it yet, learned the version of its successor's row from a conflict and overwrote that row with the next attempt. The holder after that would not have waited for targets with runs. Before, the check of the term stood in front of the write. The permission is asked when the write is sent. test_row_of_later_holder fails without it.

--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -92,7 +92,7 @@
         self._old_progress: dict[str, tuple[Progress, int]] = {}
         self._progress_loaded = trio.Event()
         self._unreadable_jobs: set[str] = set()
-        self._roster = Roster(rows, self.board, clock, self._wake_planner)
+        self._roster = Roster(rows, self.board, clock, self._wake_planner, self._may_order)
         self._settlement = Settlement(
             term, rows, self.board, self.journal, self._roster, clock, self._is_dead
         )
--- a/comfreywind/scheduling/roster.py
+++ b/comfreywind/scheduling/roster.py
@@ -7,6 +7,7 @@
 
 from comfreywind.clock import Clock
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.http.client import Permit
 from comfreywind.jobs.row_format import RowFormatError
 from comfreywind.jobs.tables import HOLDER_PART, ROSTER_KEY, TABLE_TERM
 from comfreywind.platform.rows_client import RowsClient
@@ -30,9 +31,18 @@
     """
 
     def __init__(
-        self, rows: RowsClient, board: Board, clock: Clock, note_change: Callable[[], None]
+        self,
+        rows: RowsClient,
+        board: Board,
+        clock: Clock,
+        note_change: Callable[[], None],
+        permit: Permit,
     ) -> None:
-        """Use the store's client; `note_change` is called when further targets may get runs."""
+        """Use the store's client; `note_change` is called when further targets may get runs.
+
+        `permit` tells whether the term is held: a later holder's row must not be overwritten.
+        """
+        self._permit = permit
         self._rows = rows
         self._board = board
         self._clock = clock
@@ -87,7 +97,7 @@
         self._written_s = self._clock.read_monotonic_s()
         change = RowChange(TABLE_TERM, ROSTER_KEY, encode_roster(wanted), self._version)
         try:
-            self._version = await self._rows.commit(HOLDER_PART, [change])
+            self._version = await self._rows.commit(HOLDER_PART, [change], self._permit)
         except RowsChangedError as error:
             for row in error.rows:
                 self._version = row.version
--- a/tests/scheduling/test_roster.py
+++ b/tests/scheduling/test_roster.py
@@ -10,11 +10,12 @@
 
 import trio
 
-from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.errors import RowsChangedError, StoreRefusedError, StoreUnavailableError
+from comfreywind.http.client import Permit
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.scheduling.roster import RETRY_S, SHRINK_INTERVAL_S, Roster
-from comfreywind.scheduling.term_row import decode_roster
+from comfreywind.scheduling.term_row import decode_roster, encode_roster
 from tests.helpers.board_rig import BoardRig, make_job
 from tests.helpers.trio_clock import TrioClock
 
@@ -30,10 +31,13 @@
         self.payload: bytes | None = None
         self.version = 0
         self.faults: list[Exception] = []
+        self.permitted = True
 
-    async def commit(self, part: str, changes: Sequence[RowChange]) -> int:
+    async def commit(self, part: str, changes: Sequence[RowChange], permit: Permit) -> int:
         """Write the row, or raise the next fault."""
         (change,) = changes
+        if not permit():
+            raise StoreRefusedError('not permitted')
         await trio.sleep(COMMIT_S)
         if change.expected_version != self.version:
             row = StoredRow(change.table, part, change.key, self.payload, self.version)
@@ -50,7 +54,8 @@
 
 def make_roster(rig: BoardRig, store: SlowStore) -> Roster:
     """Return the roster of the board."""
-    return Roster(cast('RowsClient', store), rig.board, TrioClock(), lambda: None)
+    rows = cast('RowsClient', store)
+    return Roster(rows, rig.board, TrioClock(), lambda: None, lambda: store.permitted)
 
 
 def add_new_target(rig: BoardRig, name: str) -> None:
@@ -115,3 +120,23 @@
                 await trio.sleep(0.1)
         assert store.list_names() == {'late'}
         nursery.cancel_scope.cancel()
+
+
+async def test_row_of_later_holder(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a holder whose term is over and that overwrites the row of its successor.
+
+    A conflict shows it the version of that row, with which the next attempt would succeed.
+    """
+    rig, store = BoardRig(targets=0), SlowStore()
+    add_new_target(rig, 'late')
+    async with trio.open_nursery() as nursery:
+        roster = make_roster(rig, store)
+        nursery.start_soon(roster.run)
+        roster.update()
+        await trio.sleep(COMMIT_S / 2)
+        store.payload, store.version = encode_roster(frozenset(('theirs',))), 7
+        store.permitted = False
+        await trio.sleep(5 * COMMIT_S)
+        assert store.list_names() == {'theirs'}
+        assert not rig.board.targets['late'].rostered
+        nursery.cancel_scope.cancel()
