Bound a term by the renewal under way

Candidates go by the row and took over after 2.0 s, the holder counted on 2.8 s. Before a renewal is sent, the present term now ends no later than the one written. Ruled out: a commit carried out late, which moves the row's version later. test_shorter_term_without_answer fails on the code before and passes now.

--- a/comfreywind/scheduling/term_keeper.py
+++ b/comfreywind/scheduling/term_keeper.py
@@ -63,6 +63,7 @@
         self._next_term_s = USUAL_TERM_S
         self._seen_row = TermRow('', 0)
         self._renewal_sent_s: float | None = None
+        self._held_term_s = USUAL_TERM_S
         self._held: HeldTerm | None = None
         self._change = trio.Event()
         self._stopping = False
@@ -84,7 +85,7 @@
         now_s = self._clock.read_monotonic_s()
         if self._held is None:
             return False
-        return is_term_valid(self._renewal_sent_s, self._seen_row.term_s, now_s)
+        return is_term_valid(self._renewal_sent_s, self._held_term_s, now_s)
 
     async def wait_for_change(self) -> None:
         """Return when the node has gained or lost the term."""
@@ -189,6 +190,8 @@
             refused=self.own_refused,
             started_ms=self._find_start_ms(),
         )
+        if step is TermStep.RENEW:
+            self._bound_term(sent_s, row.term_s)
         change = RowChange(TABLE_TERM, TERM_KEY, encode_term(row), self._version)
         try:
             version = await self._rows.commit(TERM_PART, [change])
@@ -199,6 +202,15 @@
             self._next_term_s = choose_term_s(self._clock.read_monotonic_s() - sent_s)
         self._accept(row, version, sent_s, step)
 
+    def _bound_term(self, sent_s: float, term_s: float) -> None:
+        """End the present term no later than the one that is about to be written.
+
+        The answer may be lost, and candidates go by the row: a shorter term may lapse there first.
+        """
+        if self._renewal_sent_s is not None:
+            end_s = min(self._renewal_sent_s + self._held_term_s, sent_s + term_s)
+            self._held_term_s = end_s - self._renewal_sent_s
+
     def _settle_conflict(self, rows: tuple[StoredRow, ...]) -> None:
         """Find out who has the term when the row has another version than expected.
 
@@ -220,6 +232,7 @@
         self._version_since_s = now_s
         if step is TermStep.TAKE and not self._stopping:
             self._renewal_sent_s = sent_s
+            self._held_term_s = row.term_s
             self._held = HeldTerm(row.epoch, version, now_s)
             log.info('term %d: taken at version %d', row.epoch, version)
             self._announce()
@@ -228,6 +241,7 @@
             log.info('term %d: renewed after it was lost; it lapses', row.epoch)
         else:
             self._renewal_sent_s = sent_s
+            self._held_term_s = row.term_s
 
     def _observe(self, stored: StoredRow) -> None:
         if stored.version != self._version:
--- a/tests/scheduling/test_term_keeper.py
+++ b/tests/scheduling/test_term_keeper.py
@@ -6,6 +6,11 @@
 import trio
 
 from comfreywind.clock import SystemClock
+from comfreywind.decisions.scheduling.term import (
+    SLOW_STORE_TERM_S,
+    TAKEOVER_MARGIN_S,
+    USUAL_TERM_S,
+)
 from comfreywind.errors import RowsChangedError
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
@@ -94,3 +99,25 @@
         await trio.sleep(0.3)
         assert keeper.held is None
         nursery.cancel_scope.cancel()
+
+
+async def test_shorter_term_without_answer() -> None:
+    """Guards against a holder that counts on a long term while its row names a shorter one.
+
+    Seen once as two holders at the same moment (test_handover.py::test_one_holder[32], beside load): a
+    renewal with a shorter term had taken effect and its answer was lost.
+    """
+    rows = SlowRows()
+    keeper = make_keeper(rows)
+    keeper._next_term_s = SLOW_STORE_TERM_S
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(keeper.run)
+        await wait_until_held(keeper)
+        rows.answer_after_s = 60
+        await rows.wait_for_commit()
+        committed_s = trio.current_time()
+        assert decode_term(rows.row).term_s == USUAL_TERM_S
+        while keeper.is_valid():
+            await trio.sleep(0.01)
+        assert trio.current_time() - committed_s < USUAL_TERM_S + TAKEOVER_MARGIN_S
+        nursery.cancel_scope.cancel()
