--- a/tests/field_faults/test_handover.py
+++ b/tests/field_faults/test_handover.py
@@ -1,7 +1,7 @@
 """Around a hand-over between two processes, both acted for a moment, and orders went out twice.
 
-Two holders at once were not found: the terms of four nodes never overlap below, over 40 schedules of
-slow, lost and late answers of the store, pauses and releases, and `tests/model/handover_model.py`
+It could happen here, seen once in these 40 schedules of slow, lost and refused answers of the store:
+a renewal that shortened the term had taken effect without an answer. Besides, `tests/model/handover_model.py`
 checks the orders of two holders exhaustively for one task. What did happen is an order that waited
 for a connection until its term was over: `test_paused_process.py`.
 """
