Reboot the stand-in while a task runs in the test of its guard

Cause: the test rebooted the executor when the sixth answer had come. The callers run in step, so that moment lies between two tasks of 0.1 s, and now and then none ran: 0 interrupted. Ruled out: a stand-in that doesn't notice: it counts the tasks that it cancels in the same step. The check stays; the test now waits until a task of 1.6 s runs, as the tests beside it do.

--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -35,6 +35,11 @@
     )
 
 
+def count_running(fleet: Fleet) -> int:
+    """Return how many requests run at the executors."""
+    return sum(fleet.read_run_log()['running'].values())
+
+
 def check_undisturbed(fleet: Fleet, load: CallerLoad) -> None:
     """Check that requests were answered and that no reboot cut one off."""
     assert [reboot for reboot in fleet.read_reboots() if reboot['interrupted'] != 0] == []
@@ -44,8 +49,8 @@
 
 def test_reboot_without_drain_is_noticed() -> None:
     """Guards against stand-ins that would not notice a request cut off by a reboot."""
-    with Fleet(make_plan(1, 1, period_s=100)) as fleet, make_load(fleet) as load:
-        wait_until(lambda: load.outcomes['answered'] > 5, 'running requests')
+    with Fleet(make_plan(1, 1, period_s=100)) as fleet, make_load(fleet, path=LONG_WORK_PATH):
+        wait_until(lambda: count_running(fleet) > 0, 'running requests')
         reply = httpcore.request('POST', f'http://{fleet.platform_address}/v1/vms/{POOL}-0/reboot')
         assert reply.status == 202
         assert fleet.read_reboots()[0]['interrupted'] > 0
