--- a/comfreywind/listening.py
+++ b/comfreywind/listening.py
@@ -5,8 +5,12 @@
 from comfreywind.errors import ListenError
 from comfreywind.settings.address import Address
 
+# Connections that wait to be accepted; Linux drops the packets of those beyond it, and the
+# caller gets a reset or no reply.
+BACKLOG_COUNT = 1024
 
-def open_listening_socket(address: Address, backlog: int = 100) -> socket.socket:
+
+def open_listening_socket(address: Address, backlog: int = BACKLOG_COUNT) -> socket.socket:
     """Return a non-blocking TCP socket that listens; raise ListenError when it can't."""
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
