Let a new holder learn the turns of demand from the jobs it reads

Cause: what a pool knows of the last turn of its demand was in the holder's memory. After each change of the holder the pools grew step by step in their next turn, which costs its first jobs the time that VMs take. Change: a holder that takes over reconstructs the load of the last minute from accepted jobs and estimates. The jobs are on the platform and read anyway, so nothing more is stored. Ruled out: a row for the turns in the store (a write a turn and pool, and one more thing to read first). Tested by tests/scheduling/test_surges_across_holders.py.

--- a/comfreywind/scheduling/pool_keeper.py
+++ b/comfreywind/scheduling/pool_keeper.py
@@ -1,11 +1,13 @@
 """Moves VMs to the pools that have work, and idle ones to standby."""
 
 import logging
+from collections.abc import Iterable
 
 import trio
 
 from comfreywind.clock import Clock
 from comfreywind.decisions.scheduling.pool_size import VmMove
+from comfreywind.jobs.pool import Pool
 from comfreywind.platform.vm_client import VmClient, VmOrderAnswer
 from comfreywind.scheduling.order_turns import OrderTurns
 from comfreywind.scheduling.pool_sizer import PoolSizer
@@ -14,6 +16,7 @@
 from comfreywind.scheduling.vm_watch import VmWatch
 
 INTERVAL_S = 0.2
+MS_PER_S = 1000
 LIST_AGE_LIMIT_S = 2.5
 
 log = logging.getLogger('comfreywind.pools')
@@ -45,6 +48,7 @@
         self._sizer = sizer
         self._clock = clock
         self._wants_list = True
+        self._recalled = False
 
     async def run(self) -> None:
         """Compare load and size in a fixed period until cancelled."""
@@ -54,6 +58,8 @@
             if rules is None:
                 continue
             now_s = self._clock.read_monotonic_s()
+            if not self._recalled:
+                self._recall(rules.pools.values(), now_s)
             moves = self._sizer.choose(rules.pools.values(), self._watch.vms, now_s)
             self._wants_list = bool(moves) or self._sizer.has_moves()
             fresh = self._watch.find_age_s(now_s) < LIST_AGE_LIMIT_S
@@ -64,6 +70,11 @@
         """Return whether a fresh list of VMs is needed."""
         return self._wants_list
 
+    def _recall(self, pools: Iterable[Pool], now_s: float) -> None:
+        self._recalled = True
+        now_ms = self._clock.read_utc().timestamp() * MS_PER_S
+        self._sizer.recall(pools, now_s, now_ms)
+
     async def _order_all(self, moves: list[VmMove]) -> None:
         if not await self._turns.announce([move.vm for move in moves]):
             return
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
+from comfreywind.decisions.scheduling.past_load import PastWork, list_past_work, sample_load
 from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
 from comfreywind.decisions.scheduling.pool_size import (
     PoolLoad,
@@ -13,12 +14,16 @@
 )
 from comfreywind.decisions.scheduling.surge import SurgeMemory
 from comfreywind.jobs.pool import Pool
+from comfreywind.jobs.resources import sum_resources
 from comfreywind.jobs.vm import Vm
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.vm_order import VmOrder
 
 # An order without an answer may still be carried out for so long.
 LATE_ORDER_S = 13.0
+# Between two loads that are reconstructed; a turn takes seconds.
+RECALL_INTERVAL_MS = 200
+MS_PER_S = 1000
 
 log = logging.getLogger('comfreywind.pools')
 
@@ -42,6 +47,22 @@
         self._surplus_since_s: dict[str, float] = {}
         self._surges: dict[str, SurgeMemory] = {}
 
+    def recall(self, pools: Iterable[Pool], now_s: float, now_ms: float) -> None:
+        """Learn from the jobs on the board which turns of demand earlier holders have met."""
+        works_by_pool: dict[str, list[PastWork]] = {}
+        for record in self._board.jobs.values():
+            works = works_by_pool.setdefault(self._board.find_pool(record), [])
+            works.extend(list_past_work(record.job))
+        from_ms = now_ms - self._policy.surge_memory_s * MS_PER_S
+        for pool in pools:
+            targets = self._board.list_pool_targets(pool.name) or self._board.targets.values()
+            capacity = sum_resources(target.entry.capacity for target in targets)
+            surges = self._surges.setdefault(pool.name, SurgeMemory(self._policy.surge_memory_s))
+            works = works_by_pool.get(pool.name, [])
+            for at_ms, load in sample_load(works, from_ms, now_ms, RECALL_INTERVAL_MS):
+                load_vms = len(targets) * load.find_largest_part(capacity)
+                surges.note_load(load_vms, now_s - (now_ms - at_ms) / MS_PER_S)
+
     def choose(self, pools: Iterable[Pool], vms: Mapping[str, Vm], now_s: float) -> list[VmMove]:
         """Return the moves to order now, after a look at those that are under way."""
         self._settle(vms, now_s)
--- a/tests/scheduling/test_pool_keeper.py
+++ b/tests/scheduling/test_pool_keeper.py
@@ -25,6 +25,9 @@
         self.rules = JobRules(1)
         self.moved: list[str] = []
 
+    def recall(self, *_: Any) -> None:
+        """Know of no earlier turns."""
+
     def choose(self, *_: Any) -> list[VmMove]:
         """Choose the VM."""
         return [VmMove('vm0', 'south')]
--- /dev/null
+++ b/tests/scheduling/test_surges_across_holders.py
@@ -0,0 +1,101 @@
+"""Turns of demand that one holder has seen, and the next one meets again."""
+
+import pytest
+
+from comfreywind.decisions.scheduling.past_load import PastWork, list_past_work, sample_load
+from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.pool import Pool
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.step import Step
+from comfreywind.jobs.vm import Vm
+from comfreywind.scheduling.pool_sizer import PoolSizer
+from tests.helpers.board_rig import POOL, BoardRig, make_job
+
+POOLS = (Pool(POOL), Pool('standby', standby=True))
+TASK = Resources(1000, 100)
+# A pool of 4 VMs of 4 cores; the turn before took 32 cores, 8 VMs.
+TURN_TASKS = 32
+POLICY = PoolPolicy(base_part=0, spare_vms=0, smallest_pool=1, target_fill=1)
+NOW_MS = 1_000_000
+
+
+def make_vms() -> dict[str, Vm]:
+    """Return the VMs of the pool and as many as it may need in standby."""
+    size = Resources(4000, 10_000)
+    own = {f'vm{n}': Vm(f'vm{n}', POOL, True, 'dc', frozenset(), size, f't{n}') for n in range(4)}
+    return own | {
+        f'idle{n}': Vm(f'idle{n}', 'standby', True, 'dc', frozenset(), size, f'off{n}')
+        for n in range(20)
+    }
+
+
+def add_ended_turn(rig: BoardRig, ago_ms: int) -> None:
+    """Add the jobs of a turn that an earlier holder has carried out."""
+    for number in range(TURN_TASKS):
+        job = make_job(
+            Step(1, TASK, estimate_ms=1000),
+            job_id=f'{number:016x}',
+            accepted_ms=NOW_MS - ago_ms,
+        )
+        rig.board.add_job(job, Progress(JobState.COMPLETE, {(0, 0, 0)}), 1, settled=True)
+
+
+@pytest.mark.parametrize(
+    ('ago_ms', 'moves'),
+    [
+        pytest.param(20_000, 4, id='known turn'),
+        pytest.param(90_000, 0, id='forgotten turn'),
+    ],
+)
+def test_next_turn_after_change_of_holder(ago_ms: int, moves: int) -> None:
+    """Guards against a pool that grows only step by step in the turn after a change of the holder."""
+    rig = BoardRig(targets=4)
+    add_ended_turn(rig, ago_ms)
+    sizer = PoolSizer(rig.board, POLICY)
+    sizer.recall(POOLS, rig.now_s, NOW_MS)
+    sizer.choose(POOLS, make_vms(), rig.now_s)
+    rig.now_s += 1
+    for number in range(8):
+        rig.add_job(make_job(Step(1, TASK), job_id=f'f{number:015x}'))
+    rig.start()
+    into_pool = [move for move in sizer.choose(POOLS, make_vms(), rig.now_s) if move.pool == POOL]
+    assert len(into_pool) == moves
+
+
+def test_turn_under_way_at_change_of_holder() -> None:
+    """Guards against the end of a turn that is taken for the begin of another one."""
+    rig = BoardRig(targets=4)
+    add_ended_turn(rig, 100)
+    sizer = PoolSizer(rig.board, POLICY)
+    sizer.recall(POOLS, rig.now_s, NOW_MS)
+    moves = sizer.choose(POOLS, make_vms(), rig.now_s)
+    assert [move for move in moves if move.pool == POOL] == []
+
+
+def test_steps_follow_each_other() -> None:
+    """Guards against a load that counts the steps of a job at once."""
+    job = make_job(
+        Step(2, TASK, estimate_ms=400),
+        Step(4, TASK, estimate_ms=200, after=(0,)),
+        accepted_ms=1000,
+    )
+    assert list_past_work(job) == [
+        PastWork(1000, 1400, Resources(2000, 200)),
+        PastWork(1400, 1600, Resources(4000, 400)),
+    ]
+    cores = [
+        (at_ms, load.cpu_millicores // 1000)
+        for at_ms, load in sample_load(list_past_work(job), 800, 1800, 200)
+    ]
+    assert cores == [(800, 0), (1000, 2), (1200, 2), (1400, 4), (1600, 0)]
+
+
+@pytest.mark.parametrize(
+    'fields', [{'occurrence_count': 3, 'interval_ms': 100}, {'lasting': True}], ids=str
+)
+def test_other_jobs_are_no_turn(fields: dict[str, int]) -> None:
+    """Guards against timed and lasting work that is taken for a turn."""
+    lasting = bool(fields.pop('lasting', False))
+    assert list_past_work(make_job(Step(1, TASK, lasting=lasting), **fields)) == []
