Size pools for the load that is forecast while the demand rises

Change: the work that is handed in, by Little's law a load, is compared over two windows of 0.8 s; while it is at least double its mean of the last seconds, the pool grows to the forecast for when VMs arrive, at most to three times its load. How long a move takes is learned from moves. Ruled out: waiting for a rise of two standard deviations: turns of few large jobs never reach it. Tested by tests/scheduling/test_demand_trend.py.

--- a/comfreywind/decisions/scheduling/past_load.py
+++ b/comfreywind/decisions/scheduling/past_load.py
@@ -8,6 +8,8 @@
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 
+MS_PER_S = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class PastWork:
@@ -17,6 +19,10 @@
     end_ms: float
     total: Resources
 
+    def measure_vm_seconds(self, vm_size: Resources) -> float:
+        """Return for how many seconds the work would fill one VM of that size."""
+        return self.total.find_largest_part(vm_size) * (self.end_ms - self.start_ms) / MS_PER_S
+
 
 def list_past_work(job: Job) -> list[PastWork]:
     """Return the work of a job as if every step had run when its turn came.
--- a/comfreywind/decisions/scheduling/pool_policy.py
+++ b/comfreywind/decisions/scheduling/pool_policy.py
@@ -18,6 +18,9 @@
     A rise of the load that follows a quiet time is taken for the next turn of a demand that comes
     and goes: within `surge_memory_s` of an earlier one the pool grows to that one's peak at once.
 
+    While the demand surely rises, the pool grows to the load that is forecast for the time when VMs
+    ordered now take work, at most to `growth_limit` times the present load.
+
     `base_part`, `shrink_after_s` and `surge_memory_s` earned the most, less the price of VM time, in
     `comfreywind lab` on turns-small and turns-grown.
     """
@@ -29,3 +32,4 @@
     shrink_after_s: float = 1.5
     arrival_limit: int = 200
     surge_memory_s: float = 60
+    growth_limit: float = 3
--- /dev/null
+++ b/comfreywind/scheduling/demand_watch.py
@@ -0,0 +1,84 @@
+"""Tells what load of each pool is to be expected, by the jobs on the board."""
+
+from collections.abc import Iterable
+from itertools import islice
+
+from comfreywind.decisions.scheduling.demand_trend import DemandTrend
+from comfreywind.decisions.scheduling.past_load import PastWork, list_past_work, sample_load
+from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
+from comfreywind.decisions.scheduling.surge import SurgeMemory
+from comfreywind.jobs.job import Job
+from comfreywind.jobs.pool import Pool
+from comfreywind.jobs.resources import Resources, sum_resources
+from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.job_record import JobRecord
+
+# Between two loads that are reconstructed; a turn of demand takes seconds.
+RECALL_INTERVAL_MS = 200
+MS_PER_S = 1000
+
+
+class DemandWatch:
+    """Follows the demand for all pools; times in seconds are on the holder's steady clock."""
+
+    def __init__(self, board: Board, policy: PoolPolicy) -> None:
+        """Watch the jobs of the board; those that are there already belong to `recall`."""
+        self._board = board
+        self._policy = policy
+        self._surges: dict[str, SurgeMemory] = {}
+        self._trends: dict[str, DemandTrend] = {}
+        self._seen_jobs_count = len(board.jobs)
+
+    def recall(self, pools: Iterable[Pool], now_s: float, now_ms: float) -> None:
+        """Learn from the jobs on the board which turns of demand earlier holders have met."""
+        works_by_pool: dict[str, list[PastWork]] = {}
+        for record in self._board.jobs.values():
+            works = works_by_pool.setdefault(self._board.find_pool(record), [])
+            works.extend(list_past_work(record.job))
+        from_ms = now_ms - self._policy.surge_memory_s * MS_PER_S
+        for pool in pools:
+            size = self._find_vm_size(pool.name)
+            surges = self._find_surges(pool.name)
+            works = works_by_pool.get(pool.name, [])
+            for at_ms, load in sample_load(works, from_ms, now_ms, RECALL_INTERVAL_MS):
+                surges.note_load(load.find_largest_part(size), now_s - (now_ms - at_ms) / MS_PER_S)
+
+    def note_jobs(self, now_s: float) -> None:
+        """Take in the jobs that have come since the last look."""
+        jobs = self._board.jobs
+        new = list(islice(reversed(jobs.values()), len(jobs) - self._seen_jobs_count))
+        self._seen_jobs_count = len(jobs)
+        records_by_pool: dict[str, list[JobRecord]] = {pool: [] for pool in self._trends}
+        for record in new:
+            records_by_pool.setdefault(self._board.find_pool(record), []).append(record)
+        for pool, records in records_by_pool.items():
+            size = self._find_vm_size(pool)
+            trend = self._trends.setdefault(pool, DemandTrend())
+            trend.note(now_s, (_measure_work(record.job, size) for record in records))
+
+    def expect_vms(self, pool: str, load_vms: float, now_s: float, lead_s: float) -> float:
+        """Take in the present load and return the load to expect after the lead time.
+
+        Returns 0 when nothing beyond the present load is to be expected.
+        """
+        remembered_vms = self._find_surges(pool).note_load(load_vms, now_s)
+        trend = self._trends.get(pool)
+        forecast_vms = 0 if trend is None else trend.forecast_vms(lead_s)
+        return max(remembered_vms, min(forecast_vms, self._policy.growth_limit * load_vms))
+
+    def _find_surges(self, pool: str) -> SurgeMemory:
+        return self._surges.setdefault(pool, SurgeMemory(self._policy.surge_memory_s))
+
+    def _find_vm_size(self, pool: str) -> Resources:
+        """Return the mean size of the VMs of a pool, or of all VMs if the pool has none."""
+        targets = self._board.list_pool_targets(pool) or list(self._board.targets.values())
+        total = sum_resources(target.entry.capacity for target in targets)
+        count = max(1, len(targets))
+        return Resources(
+            total.cpu_millicores // count, total.memory_mb // count, total.accelerators // count
+        )
+
+
+def _measure_work(job: Job, vm_size: Resources) -> float:
+    """Return for how many seconds the job would fill one VM, by its estimates."""
+    return sum(work.measure_vm_seconds(vm_size) for work in list_past_work(job))
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
-from comfreywind.decisions.scheduling.past_load import PastWork, list_past_work, sample_load
 from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
 from comfreywind.decisions.scheduling.pool_size import (
     PoolLoad,
@@ -12,18 +11,17 @@
     choose_moves,
     find_surplus,
 )
-from comfreywind.decisions.scheduling.surge import SurgeMemory
 from comfreywind.jobs.pool import Pool
-from comfreywind.jobs.resources import sum_resources
 from comfreywind.jobs.vm import Vm
 from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.demand_watch import DemandWatch
 from comfreywind.scheduling.vm_order import VmOrder
 
 # An order without an answer may still be carried out for so long.
 LATE_ORDER_S = 13.0
-# Between two loads that are reconstructed; a turn takes seconds.
-RECALL_INTERVAL_MS = 200
-MS_PER_S = 1000
+# From the order of a move until the VM takes work, before any was seen, and the weight of the last.
+USUAL_MOVE_S = 1.7
+MOVE_WEIGHT = 0.2
 
 log = logging.getLogger('comfreywind.pools')
 
@@ -45,27 +43,17 @@
         self._orders: dict[str, VmOrder] = {}
         self._destinations: dict[str, str] = {}
         self._surplus_since_s: dict[str, float] = {}
-        self._surges: dict[str, SurgeMemory] = {}
+        self._demand = DemandWatch(board, policy)
+        self._move_s = USUAL_MOVE_S
 
     def recall(self, pools: Iterable[Pool], now_s: float, now_ms: float) -> None:
         """Learn from the jobs on the board which turns of demand earlier holders have met."""
-        works_by_pool: dict[str, list[PastWork]] = {}
-        for record in self._board.jobs.values():
-            works = works_by_pool.setdefault(self._board.find_pool(record), [])
-            works.extend(list_past_work(record.job))
-        from_ms = now_ms - self._policy.surge_memory_s * MS_PER_S
-        for pool in pools:
-            targets = self._board.list_pool_targets(pool.name) or self._board.targets.values()
-            capacity = sum_resources(target.entry.capacity for target in targets)
-            surges = self._surges.setdefault(pool.name, SurgeMemory(self._policy.surge_memory_s))
-            works = works_by_pool.get(pool.name, [])
-            for at_ms, load in sample_load(works, from_ms, now_ms, RECALL_INTERVAL_MS):
-                load_vms = len(targets) * load.find_largest_part(capacity)
-                surges.note_load(load_vms, now_s - (now_ms - at_ms) / MS_PER_S)
+        self._demand.recall(pools, now_s, now_ms)
 
     def choose(self, pools: Iterable[Pool], vms: Mapping[str, Vm], now_s: float) -> list[VmMove]:
         """Return the moves to order now, after a look at those that are under way."""
         self._settle(vms, now_s)
+        self._demand.note_jobs(now_s)
         by_pool: dict[str, list[Vm]] = {}
         for vm in vms.values():
             by_pool.setdefault(vm.pool, []).append(vm)
@@ -100,12 +88,16 @@
         for name, order in list(self._orders.items()):
             vm = vms.get(name)
             if vm is None or (vm.up and vm.target_id != order.target_id):
+                self._note_move(order, now_s)
                 self._forget(name)
             elif now_s - order.sent_s > LATE_ORDER_S:
                 log.info('VM %s: move was not carried out', name)
                 self._release(order.target_id)
                 self._forget(name)
 
+    def _note_move(self, order: VmOrder, now_s: float) -> None:
+        self._move_s += MOVE_WEIGHT * (now_s - order.sent_s - self._move_s)
+
     def _forget(self, name: str) -> None:
         del self._orders[name]
         del self._destinations[name]
@@ -118,7 +110,6 @@
     def _describe(self, pool: Pool, vms: list[Vm], even_share_vms: float, now_s: float) -> PoolLoad:
         targets = self._board.list_pool_targets(pool.name)
         load_vms = self._board.measure_load(pool.name)
-        surges = self._surges.setdefault(pool.name, SurgeMemory(self._policy.surge_memory_s))
         load = PoolLoad(
             pool=pool.name,
             standby=pool.standby,
@@ -128,7 +119,7 @@
             idle_vms=tuple(vm.name for vm in vms if self._is_idle(vm, pool.standby)),
             even_share_vms=even_share_vms,
             vms_for_lasting=self._board.count_vms_for_lasting(pool.name),
-            expected_vms=surges.note_load(load_vms, now_s),
+            expected_vms=self._demand.expect_vms(pool.name, load_vms, now_s, self._move_s),
         )
         if pool.standby or find_surplus(load, self._policy) <= 0:
             self._surplus_since_s.pop(pool.name, None)
--- /dev/null
+++ b/tests/scheduling/test_demand_trend.py
@@ -0,0 +1,86 @@
+"""A demand that rises over some seconds, faster than VMs move: the first turn of a queue."""
+
+import random
+
+import pytest
+
+from comfreywind.decisions.scheduling.demand_trend import DemandTrend
+from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.step import Step
+from comfreywind.scheduling.demand_watch import DemandWatch
+from tests.helpers.board_rig import POOL, BoardRig, make_job
+
+INTERVAL_S = 0.2
+LEAD_S = 1.7
+
+
+def note_steps(trend: DemandTrend, work_vm_s: list[float], jobs: int = 20) -> None:
+    """Hand in so much work in each interval, dealt over some jobs."""
+    for number, work in enumerate(work_vm_s):
+        trend.note(number * INTERVAL_S, [work / jobs] * jobs)
+
+
+def test_ramp_is_foreseen() -> None:
+    """Guards against VMs that are ordered for the present load and come for twice as much.
+
+    A turn that rises by 10 VMs a second stands at 20 VMs after 2 s, and at 37 when the VMs come.
+    """
+    trend = DemandTrend()
+    note_steps(trend, [10 * number * INTERVAL_S**2 for number in range(11)])
+    assert 29 < trend.forecast_vms(LEAD_S) < 40
+
+
+@pytest.mark.parametrize(
+    'work_vm_s',
+    [
+        pytest.param([2.0] * 8, id='steady'),
+        pytest.param([2.0, 1.8, 1.6, 1.4, 1.2, 1.0, 0.8, 0.6], id='falling'),
+        pytest.param([], id='none'),
+    ],
+)
+def test_no_rise(work_vm_s: list[float]) -> None:
+    """Guards against VMs for a demand that stays or falls."""
+    trend = DemandTrend()
+    note_steps(trend, work_vm_s)
+    assert trend.forecast_vms(LEAD_S) == 0
+
+
+def test_one_large_job_is_no_rise() -> None:
+    """Guards against a pool that is sized for a demand of which one job is all there is."""
+    trend = DemandTrend()
+    for number in range(9):
+        trend.note(number * INTERVAL_S, [50] if number == 8 else [])
+    assert trend.forecast_vms(LEAD_S) == pytest.approx(0)
+
+
+def test_chance_is_rarely_a_rise() -> None:
+    """Guards against VMs that move whenever a steady demand varies by chance."""
+    generator = random.Random(17)
+    trend = DemandTrend()
+    forecasts_vms = []
+    for number in range(2000):
+        jobs_count = sum(generator.random() < 0.2 for _ in range(20))
+        trend.note(number * INTERVAL_S, [generator.expovariate(1) for _ in range(jobs_count)])
+        forecasts_vms.append(trend.forecast_vms(LEAD_S))
+    assert sum(vms > 0 for vms in forecasts_vms) / len(forecasts_vms) < 0.03
+
+
+@pytest.mark.parametrize(('growth_limit', 'expected_vms'), [(3, 18), (1.2, 12)])
+def test_pool_grows_ahead_of_the_ramp(growth_limit: float, expected_vms: float) -> None:
+    """Guards against a first turn whose jobs wait for VMs all through its rise.
+
+    Seen on the recorded days of prevoz-plan-large and villacres-quito-grown: turns rise for 2 to 3 s and a
+    move takes 1.7 s, so half of the jobs of the first seconds were late.
+    """
+    rig = BoardRig(targets=4)
+    watch = DemandWatch(rig.board, PoolPolicy(growth_limit=growth_limit))
+    for look in range(10):
+        # Five more jobs a second in each second, each of which fills a quarter of a VM for a second.
+        for number in range(look + 1):
+            job = make_job(Step(1, Resources(1000, 100)), job_id=f'{look:08x}{number:08x}')
+            rig.add_job(job)
+        watch.note_jobs(look * INTERVAL_S)
+    load_vms = sum(range(6, 11)) / 4
+    expected = watch.expect_vms(POOL, load_vms, 9 * INTERVAL_S, LEAD_S)
+    assert expected == pytest.approx(expected_vms, rel=0.1)
--- a/tests/scheduling/test_surges_across_holders.py
+++ b/tests/scheduling/test_surges_across_holders.py
@@ -17,7 +17,7 @@
 TASK = Resources(1000, 100)
 # A pool of 4 VMs of 4 cores; the turn before took 32 cores, 8 VMs.
 TURN_TASKS = 32
-POLICY = PoolPolicy(base_part=0, spare_vms=0, smallest_pool=1, target_fill=1)
+POLICY = PoolPolicy(base_part=0, spare_vms=0, smallest_pool=1, target_fill=1, growth_limit=1)
 NOW_MS = 1_000_000
 
 
