Let a new holder order VMs once their own turn is over

Change: the row says until when, on the store's clock, an order may be sent; it is not sent later (asked when it goes out), so a VM is open one turn after that. VMs ordered longer ago are open at once. Ruled out: a shorter turn (it is the users' lease_ms), VMs left out once their order is confirmed (two holders in touch must not order one VM within that time, confirmed or not). Tests: tests/scheduling/test_order_turns.py; the first of the new ones fails on the code before. Rows of the version before have no times and are respected for the whole turn.

--- a/comfreywind/platform/vm_client.py
+++ b/comfreywind/platform/vm_client.py
@@ -2,10 +2,12 @@
 
 import enum
 import logging
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from comfreywind.errors import CallNotPermittedError, StoreUnavailableError
-from comfreywind.http.client import HttpClient, Permit
+from comfreywind.http.client import HttpClient
 from comfreywind.jobs.vm import Vm
 from comfreywind.platform.amounts import Amounts
 from comfreywind.platform.store_call import CALL_FAILURES
@@ -15,6 +17,8 @@
 CALL_TIMEOUT_S = 1.2
 STATUS_OK = 200
 
+VmPermit = Callable[[str], bool]
+
 log = logging.getLogger('comfreywind.vms')
 
 
@@ -29,8 +33,8 @@
 class VmClient:
     """Reads the list of VMs and orders moves and upkeep under the holder's fence."""
 
-    def __init__(self, address: Address, permit: Permit | None = None) -> None:
-        """Prepare connections to the address; orders are sent only while `permit` is True."""
+    def __init__(self, address: Address, permit: VmPermit) -> None:
+        """Prepare connections; an order is sent only if `permit` is True of its VM at that moment."""
         self._permit = permit
         self._client = HttpClient(address, CALL_TIMEOUT_S, 4)
 
@@ -68,8 +72,9 @@
         self, path: str, order: dict[str, Any], holder: str, fence: int
     ) -> VmOrderAnswer:
         headers = [(HEADER_HOLDER, holder.encode()), (HEADER_FENCE, str(fence).encode())]
+        permit = partial(self._permit, order['machine'])
         try:
-            reply = await self._client.call('POST', path, order, headers, self._permit)
+            reply = await self._client.call('POST', path, order, headers, permit)
         except CallNotPermittedError as error:
             log.info('%s of %s is not sent: %s', path, order['machine'], error)
             return VmOrderAnswer.REFUSED
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -155,6 +155,10 @@
         """Return whether orders of this term may be sent at this moment."""
         return self._keeper.held is self._term and self._keeper.is_valid()
 
+    def _may_order_vm(self, vm: str) -> bool:
+        """Return whether an order for the VM may be sent at this moment."""
+        return self._may_order() and self._turns.may_send(vm)
+
     def _start(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(supervise, name, work, self._metrics)
@@ -195,7 +199,7 @@
             log.warning('job %s is not scheduled: %s', row.key, error)
 
     def _start_vm_tasks(self, address: Address) -> None:
-        client = VmClient(address, self._may_order)
+        client = VmClient(address, self._may_order_vm)
         self._watch = VmWatch(client, self.board, self._clock)
         upkeep = self._make_upkeep(client, self._watch)
         pools = self._make_pools(client, self._watch)
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -271,7 +271,7 @@
         return now_s - self._term.taken_s < UNSEEN_LAPSE_S
 
     async def _order(self, wave: UpkeepWave, vm: Vm, orders: dict[str, VmOrder]) -> None:
-        if not self._keeper.is_valid():
+        if not (self._keeper.is_valid() and self._turns.may_send(vm.name)):
             return
         now_s = self._clock.read_monotonic_s()
         record = self._board.targets.get(vm.target_id)
--- a/tests/field_faults/test_paused_process.py
+++ b/tests/field_faults/test_paused_process.py
@@ -79,7 +79,7 @@
     """Guards against VMs that are moved by a holder whose term is over."""
     term, answers = Term(), []
     async with run_service() as (service, address):
-        client = VmClient(address, term.may_send)
+        client = VmClient(address, lambda _: term.may_send())
 
         async def move(number: int) -> None:
             answers.append(await client.move(f'vm{number}', 'north', 'node-1', 1))
--- a/tests/scheduling/test_order_turns.py
+++ b/tests/scheduling/test_order_turns.py
@@ -3,34 +3,50 @@
 from collections.abc import Sequence
 from typing import cast
 
+import msgpack
 import pytest
 
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
 from comfreywind.platform.rows_client import RowsClient
+from comfreywind.platform.store_time import StoreTime
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.scheduling.order_turns import OrderTurns
 from comfreywind.scheduling.term_keeper import HeldTerm
 from tests.helpers.manual_clock import ManualClock
 
 TURN_S = 3.0
+STORE_AHEAD_MS = 5_000_000
+MS_PER_S = 1000
+# The last moment at which an announced order may be sent, and its way to the service.
+SEND_S = 0.6
+ARRIVAL_S = 0.4
 
 
 class OneRow:
-    """A store with one row; `away` lets its calls fail."""
+    """A store with one row; `away` lets its calls fail, `commit_s` is what a commit takes."""
 
-    def __init__(self) -> None:
-        """Start without the row."""
+    def __init__(self, clock: ManualClock) -> None:
+        """Start without the row; the store's clock is the other one and a bit."""
+        self._clock = clock
+        self.commit_s: float = 0
         self.payload: bytes | None = None
         self.version = 0
         self.writes = 0
         self.away = False
 
+    @property
+    def store_time(self) -> StoreTime:
+        """Return a reading of the store's clock that took 10 ms."""
+        now_s = self._clock.read_monotonic_s()
+        return StoreTime(STORE_AHEAD_MS + now_s * MS_PER_S, now_s - 0.01, now_s)
+
     async def read_row(self, table: str, part: str, key: str) -> StoredRow:
         """Return the row."""
         return StoredRow(table, part, key, self.payload, self.version)
 
     async def commit(self, part: str, changes: Sequence[RowChange]) -> int:
         """Write the row when its version is the expected one."""
+        self._clock.advance(self.commit_s)
         if self.away:
             raise StoreUnavailableError('away')
         change = changes[0]
@@ -47,8 +63,8 @@
 
     def __init__(self) -> None:
         """Start at time 0 without any holder."""
-        self.row = OneRow()
         self.clock = ManualClock()
+        self.row = OneRow(self.clock)
         self._epoch = 0
 
     async def take_term(self) -> OrderTurns:
@@ -138,3 +154,56 @@
     assert not second.is_open('a')
     rig.clock.advance(TURN_S)
     assert second.is_open('a')
+
+
+async def test_turn_counts_from_the_order() -> None:
+    """Guards against pools that can't grow for the whole turn after each change of the holder.
+
+    Seen on prevoz-plan-large inc-a037: the standby VMs had been given up in the seconds before, and
+    a successor left them alone for 3 s from its own start, in the first seconds of a turn of demand.
+    """
+    rig = Rig()
+    first = await rig.take_term()
+    assert await first.announce(['a'])
+    rig.clock.advance(2.5)
+    second = await rig.take_term()
+    rig.clock.advance(SEND_S + TURN_S - 2.5)
+    assert not second.is_open('a')
+    rig.clock.advance(ARRIVAL_S + 0.1)
+    assert second.is_open('a')
+
+
+async def test_paused_after_announcement() -> None:
+    """Guards against an order sent so late that a successor has ordered the VM before."""
+    rig = Rig()
+    turns = await rig.take_term()
+    assert await turns.announce(['a'])
+    assert turns.may_send('a')
+    assert not turns.may_send('b')
+    rig.clock.advance(SEND_S + 0.1)
+    assert not turns.may_send('a')
+    assert await turns.announce(['a'])
+    assert turns.may_send('a')
+    assert rig.row.writes == 2
+
+
+async def test_slow_store() -> None:
+    """Guards against a store so slow that each announcement is over when it is written."""
+    rig = Rig()
+    rig.row.commit_s = 1.0
+    turns = await rig.take_term()
+    await turns.announce(['a'])
+    await turns.announce(['a'])
+    assert turns.may_send('a')
+
+
+async def test_row_without_times() -> None:
+    """Guards against a node of the version before whose orders a successor does not respect."""
+    rig = Rig()
+    rig.row.payload = msgpack.packb(['a'])
+    await rig.take_term()
+    turns = await rig.take_term()
+    assert not turns.is_open('a')
+    assert turns.is_open('b')
+    rig.clock.advance(TURN_S)
+    assert turns.is_open('a')
--- a/tests/scheduling/test_upkeep_rounds.py
+++ b/tests/scheduling/test_upkeep_rounds.py
@@ -88,6 +88,10 @@
         self.version += 1
         return self.version
 
+    def may_send(self, vm: str) -> bool:
+        """Tell that each order is announced."""
+        return True
+
     async def announce(self, vms: list[str]) -> bool:
         """Store the VMs."""
         return True
