Don't take what runs on its way down for the new ceiling in use

Traced with samples every 10 ms beside load, where it failed again: what ran fell 5, 4, 3, 0, passed the new ceiling of 4 on its way, and the check of later dips began there, in the time in which units move, for which the test allows up to FOLLOW_LIMIT_S. Ruled out: wide gaps between samples (10 to 30 ms). Change: the ceiling counts as in use when it is reached from below, or has lasted for a heartbeat. Bounds as before; the time until then is still limited from the first moment at or below the ceiling. Undeployed entry; no code of the product is touched.

--- a/tests/processes/test_portions.py
+++ b/tests/processes/test_portions.py
@@ -179,11 +179,12 @@
 def test_lowered_ceiling(portion_fleet: Fleet) -> None:
     """Guards against starts while more than the new ceiling runs, and against cutting off work.
 
-    The requests from before the change may all end at the same moment. The units of the new ceiling
-    then move to the entries with demand, which takes a heartbeat and a write for each move (traced: up
-    to 0.37 s) and may take as long as any move of units. From then on a unit is free only between the
-    end of one request and the start of the next (traced: dips of 20 ms); one that stays away for
-    longer than a heartbeat, by which entries tell their demand, is lost.
+    The requests from before the change may all end at the same moment, and what runs then passes the
+    new ceiling on its way down (traced: 5, 4, 3 and 0 within 70 ms). The units of the new ceiling then
+    move to the entries with demand, which takes a heartbeat and a write for each move (traced: up to
+    0.37 s) and may take as long as any move of units. From then on a unit is free only between the end
+    of one request and the start of the next (traced: dips of 20 ms); one that stays away for longer
+    than a heartbeat, by which entries tell their demand, is lost.
     """
     lowered = CEILING // 3
     with SteadyLoad(portion_fleet, TEAM, 'rebuild', 1.5) as load:
@@ -196,6 +197,7 @@
         deadline_s = time.monotonic() + 6
         below_s = 0.0
         full_s = 0.0
+        fell = False
         missing_since_s = float('inf')
         while time.monotonic() < deadline_s:
             log = portion_fleet.read_run_log()
@@ -205,7 +207,9 @@
             sampled_s = time.monotonic()
             if running <= lowered or below_s:
                 below_s = below_s or sampled_s
-                full_s = full_s or (sampled_s if running == lowered else 0)
+                fell = fell or running < lowered
+                settled = fell or sampled_s - below_s > HEARTBEAT_S
+                full_s = full_s or (sampled_s if settled and running == lowered else 0)
             assert full_s or not below_s or sampled_s - below_s <= FOLLOW_LIMIT_S
             missing = full_s and running < lowered
             missing_since_s = min(missing_since_s, sampled_s) if missing else float('inf')
