--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -21,7 +21,7 @@
 
 # An order without an answer may still be carried out for so long.
 LATE_ORDER_S = 13.0
-# From the order of a move until the VM takes work, before any was seen, and the weight of the last.
+# From the order of a move until the list shows the VM up again, before any was seen, and the weight of the last.
 USUAL_MOVE_S = 1.7
 MOVE_WEIGHT = 0.2
 
