Describe a pool once, from one grouping of targets, jobs, VMs and moves

The load of a pool was built with a placeholder and copied with the true values, and VMs and moves were grouped beside the grouping of targets and jobs. Behaviour is unchanged; the existing tests pass as they are.

--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -1,7 +1,6 @@
 """Decides which VMs move between pools, from the board and the list of VMs."""
 
 import logging
-from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
@@ -21,8 +20,9 @@
 
 # An order without an answer may still be carried out for so long.
 LATE_ORDER_S = 13.0
-# From the order of a move until the list shows the VM up again, before any was seen, and the weight of the last.
+# From the order of a move until the list shows the VM up again, as long as no move was seen.
 USUAL_MOVE_S = 1.7
+# Weight of the last move in the mean.
 MOVE_WEIGHT = 0.2
 
 log = logging.getLogger('comfreywind.pools')
@@ -55,21 +55,14 @@
     def choose(self, pools: Iterable[Pool], vms: Mapping[str, Vm], now_s: float) -> list[VmMove]:
         """Return the moves to order now, after a look at those that are under way."""
         self._settle(vms, now_s)
-        works = group_by_pool(self._board)
+        works = self._group_by_pool(vms)
         self._demand.note_jobs(works, now_s)
-        arriving = Counter(self._destinations.values())
-        by_pool: dict[str, list[Vm]] = {}
-        for vm in vms.values():
-            by_pool.setdefault(vm.pool, []).append(vm)
         known = tuple(pools)
         even_share = len(vms) / len(known) if known else 0
-        loads: list[PoolLoad] = []
-        for pool in known:
-            load = self._describe(
-                pool, works.get(pool.name, PoolWork()), by_pool.get(pool.name, []), now_s
-            )
-            load = replace(load, arriving=arriving[pool.name], even_share_vms=even_share)
-            loads.append(self._note_surplus(load, now_s))
+        loads = [
+            self._describe(pool, works.get(pool.name, PoolWork()), even_share, now_s)
+            for pool in known
+        ]
         return choose_moves(loads, self._policy)
 
     def has_moves(self) -> bool:
@@ -118,26 +111,33 @@
         if record is not None:
             self._board.take_back_order(record)
 
-    def _describe(self, pool: Pool, work: PoolWork, vms: list[Vm], now_s: float) -> PoolLoad:
-        """Return what the pool's targets, jobs and VMs show."""
+    def _group_by_pool(self, vms: Mapping[str, Vm]) -> dict[str, PoolWork]:
+        works = group_by_pool(self._board)
+        for vm in vms.values():
+            works.setdefault(vm.pool, PoolWork()).vms.append(vm)
+        for pool in self._destinations.values():
+            works.setdefault(pool, PoolWork()).arriving += 1
+        return works
+
+    def _describe(
+        self, pool: Pool, work: PoolWork, even_share_vms: float, now_s: float
+    ) -> PoolLoad:
         load_vms = work.measure_load_vms()
-        return PoolLoad(
+        load = PoolLoad(
             pool=pool.name,
             standby=pool.standby,
             load_vms=load_vms,
             usable=sum(target.is_usable(now_s) for target in work.targets),
-            arriving=0,
-            idle_vms=tuple(vm.name for vm in vms if self._is_idle(vm, pool.standby)),
+            arriving=work.arriving,
+            idle_vms=tuple(vm.name for vm in work.vms if self._is_idle(vm, pool.standby)),
+            even_share_vms=even_share_vms,
             vms_for_lasting=work.count_vms_for_lasting(),
             expected_vms=self._demand.expect_vms(pool.name, load_vms, now_s, self._move_s),
         )
-
-    def _note_surplus(self, load: PoolLoad, now_s: float) -> PoolLoad:
-        """Return the load with the time for which the pool has had too many VMs."""
-        if load.standby or find_surplus(load, self._policy) <= 0:
-            self._surplus_since_s.pop(load.pool, None)
+        if pool.standby or find_surplus(load, self._policy) <= 0:
+            self._surplus_since_s.pop(pool.name, None)
             return load
-        since_s = self._surplus_since_s.setdefault(load.pool, now_s)
+        since_s = self._surplus_since_s.setdefault(pool.name, now_s)
         return replace(load, surplus_for_s=now_s - since_s)
 
     def _is_idle(self, vm: Vm, standby: bool) -> bool:
--- a/comfreywind/scheduling/pool_work.py
+++ b/comfreywind/scheduling/pool_work.py
@@ -5,6 +5,7 @@
 
 from comfreywind.decisions.scheduling.placement import count_slots, find_request
 from comfreywind.jobs.resources import Resources, sum_resources
+from comfreywind.jobs.vm import Vm
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.job_record import JobRecord
 from comfreywind.scheduling.target_record import TargetRecord
@@ -12,10 +13,12 @@
 
 @dataclass(slots=True)
 class PoolWork:
-    """The targets of a pool, and its open jobs of which tasks wait."""
+    """The targets of a pool, its open jobs of which tasks wait, its VMs and those on their way to it."""
 
     targets: list[TargetRecord] = field(default_factory=list)
     waiting: list[JobRecord] = field(default_factory=list)
+    vms: list[Vm] = field(default_factory=list)
+    arriving: int = 0
 
     def measure_load_vms(self) -> float:
         """Return the work that runs or waits, in VMs of the pool's mean size.
