Start the turn of a unit's holder with its first unit, not with each one

The request waits for a unit of its team; with fewer units than entries that need some, an entry keeps its last units for TURN_S after it received one. Two peers that trade units with each other received one all the time, so their turn never ended and a third entry was refused at each ask (every 0.5 s).

Ruled out: the listening backlog, control.release() before the stop (the entry had failed its readiness check), the drain itself.

Change: the turn starts when an entry that held no unit receives one.

--- a/comfreywind/entry/portions/unit_exchange.py
+++ b/comfreywind/entry/portions/unit_exchange.py
@@ -35,7 +35,7 @@
         self._clock = clock
         self._asked_s: dict[str, float] = {}
         self._empty_s: dict[tuple[str, str], float] = {}
-        self._received_s: dict[str, float] = {}
+        self._turn_started_s: dict[str, float] = {}
         self._owed: dict[str, tuple[str, int, float]] = {}
         self._confirmed: dict[tuple[str, str, str], int] = {}
         hub.subscribe(UnitsRequest, self._receive_request)
@@ -123,7 +123,7 @@
         own = UnitDemand(self._book.count_held(team), self._book.count_demand(team))
         asking = UnitDemand(request.held_units, request.demand_units)
         now_s = self._clock.read_monotonic_s()
-        is_turn_over = now_s > self._received_s.get(team, 0) + TURN_S
+        is_turn_over = now_s > self._turn_started_s.get(team, 0) + TURN_S
         transfer_units = decide_transfer(own, asking, request.wanted_units, is_turn_over)
         idle_units = max(0, self._book.count_idle(team))
         given_units = min(transfer_units, idle_units)
@@ -172,8 +172,9 @@
         if transfer.total_units:
             self._hub.send(sender.name, confirmation)
         if received != ledger:
+            if self._book.count_held(team) <= 0:
+                self._turn_started_s[team] = self._clock.read_monotonic_s()
             self._book.set_ledger(transfer.resource, received)
-            self._received_s[team] = self._clock.read_monotonic_s()
             self._book.wake([team])
 
     def _note_answer(self, team: str, peer: str, idle_units: int) -> None:
