Count what an earlier holder took down, so that upkeeps go on after a change

After the turn it counted none of the VMs that were still down: with upkeeps longer than a turn, as many again as the limit could go down at once.

Change: a VM counts as down while the platform lists it in upkeep, or while an earlier holder may have ordered it lately by the row of ordered VMs. All others may be ordered at once, within what the limit leaves.

The new test (an order on its way, VMs listed in upkeep, both) fails in its three cases on the code before: it waits, or has 5 VMs down with a limit of 3.

--- a/comfreywind/jobs/vm.py
+++ b/comfreywind/jobs/vm.py
@@ -16,3 +16,4 @@
     labels: frozenset[str]
     capacity: Resources
     target_id: str
+    in_upkeep: bool = False
--- a/comfreywind/scheduling/upkeep_keeper.py
+++ b/comfreywind/scheduling/upkeep_keeper.py
@@ -138,9 +138,7 @@
         ]
         self._mark_due(due)
         await self._tell(wave, complete=not due)
-        # An upkeep of an earlier holder may still be under way and counts against the wave's limit.
-        if self._turns.is_over():
-            await self._empty_and_order(wave, due, orders, now_s)
+        await self._empty_and_order(wave, due, orders, now_s)
 
     def _mark_due(self, due: list[Vm]) -> None:
         for vm in due:
@@ -187,10 +185,11 @@
     async def _empty_and_order(
         self, wave: UpkeepWave, due: list[Vm], orders: dict[str, VmOrder], now_s: float
     ) -> None:
-        waiting = [vm for vm in due if vm.name not in orders]
+        waiting = [vm for vm in due if vm.name not in orders and self._turns.is_open(vm.name)]
         due_targets = frozenset(vm.target_id for vm in waiting)
         standings = [self._describe(vm, now_s, due_targets) for vm in waiting]
-        room = max(0, wave.limit - len(orders))
+        others = self._find_others_down(wave)
+        room = max(0, wave.limit - len(orders.keys() | others))
         for chosen in choose_emptying(standings, self._count_pools(), room):
             self._start_emptying(self._watch.vms[chosen.name], now_s)
         left_s = self._rules.find_wave_end_s(wave.wave) - now_s
@@ -207,7 +206,7 @@
         if not named or not await self._turns.announce(named):
             return
         for vm in ready:
-            if len(orders) < wave.limit:
+            if len(orders.keys() | others) < wave.limit:
                 await self._order_if_empty(wave, vm, orders, left_s)
         # The list may have been read anew while the orders were announced, without some VMs.
         listed = [self._watch.vms[name] for name in repeated if name in self._watch.vms]
@@ -215,6 +214,15 @@
             await self._order(wave, vm, orders)
         await self._store_done()
 
+    def _find_others_down(self, wave: UpkeepWave) -> set[str]:
+        """Return the VMs that are down for upkeep, or may be as an earlier holder ordered them lately."""
+        listed = self._watch.vms
+        return {
+            name
+            for name in wave.vms
+            if (name in listed and listed[name].in_upkeep) or not self._turns.is_open(name)
+        }
+
     def _is_ready(self, vm: Vm, left_s: float) -> bool:
         """Return whether a VM that is being emptied may go down; move tasks that are in the way."""
         now_s = self._clock.read_monotonic_s()
--- a/tests/scheduling/test_upkeep_rounds.py
+++ b/tests/scheduling/test_upkeep_rounds.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import pytest
 import trio
 
 from comfreywind.jobs.job_rules import JobRules
@@ -27,6 +28,7 @@
 
 VMS = 8
 UPKEEP_S = 2.0
+LIMIT = 3
 WARM_UP_S = 0.4
 # The keeper looks at its waves in this period.
 RESTART_LIMIT_S = 0.3
@@ -35,10 +37,12 @@
 class Fleet:
     """Targets and the VM service; the store and the term never fail."""
 
-    def __init__(self) -> None:
-        """Run a lasting step with one task on each VM, of which one may be away; half of them are due."""
+    def __init__(self, unavailable_limit: int = 1) -> None:
+        """Run a lasting step with a task on each VM, of which few may be away; half of them are due."""
         self.rig = BoardRig(targets=2 * VMS, cpu=2_000)
-        step = Step(2 * VMS, Resources(1_000, 100), lasting=True, unavailable_limit=1)
+        step = Step(
+            2 * VMS, Resources(1_000, 100), lasting=True, unavailable_limit=unavailable_limit
+        )
         self.rig.add_job(make_job(step))
         vm = Vm('', POOL, True, 'dc', frozenset(), Resources(2_000, 100), '')
         # Those that are due come first where nothing else decides.
@@ -51,6 +55,8 @@
         self.ordered_s = 0.0
         self.restarts_s: list[float] = []
         self.restarted_on: list[str] = []
+        self.unsure: set[str] = set()
+        self.most_down = 0
         self.rules = JobRules(1)
         wave = UpkeepWave(1, tuple(names[:VMS]), VMS, 60)
         self.waves = {1: wave}
@@ -69,7 +75,11 @@
         taken = self.vms[vm]
         self.orders[vm] += 1
         self.ordered_s = trio.current_time()
-        self.vms[vm] = replace(taken, up=False)
+        self.vms[vm] = replace(taken, up=False, in_upkeep=True)
+        down = [
+            name for name in self.waves[1].vms if self.vms[name].in_upkeep or name in self.unsure
+        ]
+        self.most_down = max(self.most_down, len(down))
         self.nursery.start_soon(self._bring_back, taken)
         return VmOrderAnswer.DONE
 
@@ -97,8 +107,12 @@
         return True
 
     def is_over(self) -> bool:
-        """Tell that no earlier holder has ordered anything."""
-        return True
+        """Tell whether no order of an earlier holder is on its way."""
+        return not self.unsure
+
+    def is_open(self, vm: str) -> bool:
+        """Tell whether no earlier holder has ordered the VM."""
+        return vm not in self.unsure
 
     def is_valid(self) -> bool:
         """Tell that the term is held."""
@@ -182,3 +196,33 @@
     assert not keeper.is_busy()
     assert set(fleet.orders.values()) == {1}
     assert len(fleet.orders) == VMS
+
+
+@pytest.mark.parametrize(
+    ('ordered', 'listed'), [(('t0',), ()), ((), ('t0', 't1')), (('t0',), ('t0', 't1'))]
+)
+async def test_upkeeps_of_an_earlier_holder(
+    autojump_clock: trio.testing.MockClock, ordered: tuple[str, ...], listed: tuple[str, ...]
+) -> None:
+    """Guards against a wave that stands still after a change of the holder, or goes beyond its limit.
+
+    `ordered` may have been sent lately by the earlier holder, and `listed` are down for longer than
+    any order is on its way. Seen on prevoz-plan-large inc-a037: 6.8 s of a wave lost, one VM late.
+    """
+    fleet = cast('Any', Fleet(unavailable_limit=2 * VMS))
+    fleet.waves = {1: UpkeepWave(1, fleet.waves[1].vms, LIMIT, 60)}
+    fleet.unsure.update(ordered)
+    fleet.vms.update({name: replace(fleet.vms[name], up=False, in_upkeep=True) for name in listed})
+    watch = VmWatch(fleet, fleet.rig.board, TrioClock())
+    keeper = make_keeper(fleet, watch)
+    async with trio.open_nursery() as nursery:
+        fleet.nursery = nursery
+        nursery.start_soon(fleet.serve)
+        nursery.start_soon(watch.run, keeper.is_busy, lambda: None)
+        nursery.start_soon(keeper.run)
+        with trio.move_on_after(VMS * UPKEEP_S):
+            while sum(fleet.orders.values()) < VMS - len({*ordered, *listed}):
+                await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+    assert set(fleet.orders) == set(fleet.waves[1].vms) - {*ordered, *listed}
+    assert fleet.most_down == LIMIT
