Remove jobs some time after their end

Cause: accepted rows, progress and marks of cancelling were kept for ever, and so were the holder's records: store, memory and the time to take over grew with every job ever handed in. The setting status_retention_s was read and never used.

Nodes forget owners and states in time, and read the accepted row again where a missing progress could mean that an old job was being removed.

Ruled out: removing the rows one part after the other (a holder that dies in between leaves a job without progress, which would run again).

Known limit: after a change of the holder the time counts anew.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -107,7 +107,9 @@
 
 
 @asynccontextmanager
-async def run_job_fleet(node_count: int = 2, target_count: int = 2) -> AsyncIterator[JobFleet]:
+async def run_job_fleet(
+    node_count: int = 2, target_count: int = 2, timings: JobTimings | None = None
+) -> AsyncIterator[JobFleet]:
     """Run a fleet until the block is left."""
     address_count = 1 + target_count + 3 * node_count
     addresses = [Address(HOST, PORTS.find_free()) for _ in range(address_count)]
@@ -131,7 +133,7 @@
             store.write_document('servers', f'i-{number}', describe_target(address))
             nursery.start_soon(partial(serve_app, target, address, shutdown))
         for number, ports in enumerate(ports_by_node):
-            settings = make_settings(f'node-{number}', ports, addresses[0])
+            settings = make_settings(f'node-{number}', ports, addresses[0], timings)
             scope = trio.CancelScope()
             fleet.scopes.append(scope)
             nursery.start_soon(run_until_killed, Node(settings, SystemClock()), scope)
@@ -178,7 +180,9 @@
     }
 
 
-def make_settings(name: str, ports: list[Address], store: Address) -> NodeSettings:
+def make_settings(
+    name: str, ports: list[Address], store: Address, timings: JobTimings | None = None
+) -> NodeSettings:
     """Return settings of a node on loopback; `ports` serve callers, readiness and metrics."""
     return NodeSettings(
         name=name,
@@ -189,6 +193,6 @@
         store_address=store,
         vm_service_address=None,
         advice_address=None,
-        timings=JobTimings(),
+        timings=timings or JobTimings(),
         store_limits=StoreLimits(),
     )
--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -2,8 +2,8 @@
 
 import logging
 from functools import partial
-from typing import TypeVar
 
+from comfreywind.clock import Clock
 from comfreywind.errors import (
     JobIdTakenError,
     RowsChangedError,
@@ -11,6 +11,7 @@
     StoreUnavailableError,
 )
 from comfreywind.http.client import Permit
+from comfreywind.intake.recent_cache import RecentCache
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_codec import (
     decode_job,
@@ -34,10 +35,10 @@
 from comfreywind.platform.stored_row import RowChange, StoredRow
 
 CANCEL_ATTEMPTS = 8
-# Final states and owners never change, so they need not be read again.
 CACHED_JOBS = 10_000
-
-Kept = TypeVar('Kept')
+# A job that has not ended is in the store for the whole retention at least.
+CACHED_PART_OF_RETENTION = 0.5
+MS_PER_S = 1000
 
 log = logging.getLogger('comfreywind.intake')
 
@@ -45,12 +46,23 @@
 class JobStore:
     """Accepts, reads and cancels jobs with conditional writes."""
 
-    def __init__(self, rows: RowsClient, row_limit_bytes: int) -> None:
-        """Use the store's client; the store refuses longer rows than `row_limit_bytes`."""
+    def __init__(
+        self, rows: RowsClient, row_limit_bytes: int, retention_s: float, clock: Clock
+    ) -> None:
+        """Use the store's client; the store refuses longer rows than `row_limit_bytes`.
+
+        Jobs are kept for `retention_s` after their end. Owners are cached of open jobs only, states
+        of ended ones only: neither changes until the job is removed.
+        """
         self._rows = rows
         self.row_limit_bytes = row_limit_bytes
-        self._final: dict[str, JobState] = {}
-        self._owners: dict[str, JobOwner] = {}
+        self._clock = clock
+        self._retention_s = retention_s
+        kept_s = retention_s * CACHED_PART_OF_RETENTION
+        self._owners: RecentCache[JobOwner] = RecentCache(CACHED_JOBS, kept_s, clock)
+        self._ended: RecentCache[tuple[JobOwner, JobState]] = RecentCache(
+            CACHED_JOBS, kept_s, clock
+        )
 
     async def accept(self, job: Job, permit: Permit) -> bool:
         """Store a job; return False when its owner has stored a job of that id already.
@@ -74,15 +86,12 @@
 
     async def read_state(self, job_id: str, team: str, queue: Queue) -> JobState | None:
         """Return the state of a job, or None when a caller of the team has no such job there."""
-        owner = self._owners.get(job_id)
-        if owner is not None and job_id in self._final:
-            return self._final[job_id] if owner.admits(team, queue) else None
+        ended = self._ended.get(job_id)
+        if ended is not None:
+            owner, state = ended
+            return state if owner.admits(team, queue) else None
         found = await self._find_progress(job_id, team, queue)
-        if found is None:
-            return None
-        state = found[0].state
-        self._note_state(job_id, state)
-        return state
+        return None if found is None else found[0].state
 
     async def cancel(self, job_id: str, team: str, queue: Queue) -> JobState | None:
         """Cancel a job that is not final; return its state then.
@@ -95,7 +104,6 @@
                 return None
             progress, version = found
             if progress.state.final:
-                self._note_state(job_id, progress.state)
                 return progress.state
             progress.state = JobState.CANCELLED
             changes = [
@@ -107,7 +115,7 @@
             except RowsChangedError:
                 log.info('job %s: progress changed while it was being cancelled', job_id)
             else:
-                self._note_state(job_id, JobState.CANCELLED)
+                self._owners.drop(job_id)
                 return JobState.CANCELLED
         raise StoreUnavailableError(f'job {job_id}: progress changes too fast to be cancelled')
 
@@ -118,7 +126,8 @@
             for row in error.rows:
                 self._check_owner(row, job)
             return False
-        _keep(self._owners, job.job_id, find_owner(job))
+        self._ended.drop(job.job_id)
+        self._owners.put(job.job_id, find_owner(job))
         return True
 
     def _check_owner(self, row: StoredRow, job: Job) -> None:
@@ -130,37 +139,46 @@
     ) -> tuple[Progress, int] | None:
         """Return the progress of a job and its version, or None without such a job of the team."""
         progress_row, owner = await self._read_job(job_id)
-        if owner is None or not owner.admits(team, queue):
+        if owner is None:
             return None
-        return decode_stored_progress(progress_row.payload), progress_row.version
+        progress = decode_stored_progress(progress_row.payload)
+        if progress.state.final:
+            self._owners.drop(job_id)
+            self._ended.put(job_id, (owner, progress.state))
+        else:
+            self._owners.put(job_id, owner)
+        return (progress, progress_row.version) if owner.admits(team, queue) else None
 
     async def _read_job(self, job_id: str) -> tuple[StoredRow, JobOwner | None]:
         """Return the progress row and the owner, None when there is no such job."""
+        owner = self._owners.get(job_id)
         found: dict[str, StoredRow] = {}
 
         async def read(table: str, part: str) -> None:
             found[table] = await self._rows.read_row(table, part, job_id)
 
+        read_accepted = partial(read, TABLE_INTAKE, find_intake_part(job_id))
         readings = [partial(read, TABLE_PROGRESS, find_progress_part(job_id))]
-        if job_id not in self._owners:
-            readings.append(partial(read, TABLE_INTAKE, find_intake_part(job_id)))
+        if owner is None:
+            readings.append(read_accepted)
         await run_together(readings)
-        accepted = found.get(TABLE_INTAKE)
-        if accepted is not None and accepted.payload is not None:
-            _keep(self._owners, job_id, _read_owner(accepted.payload))
-        return found[TABLE_PROGRESS], self._owners.get(job_id)
+        job = _read_accepted(found)
+        if found[TABLE_PROGRESS].payload is None and job is not None and self._is_old(job):
+            # It may have been removed between the two readings.
+            await read_accepted()
+            job = _read_accepted(found)
+        return found[TABLE_PROGRESS], owner if job is None else find_owner(job)
 
-    def _note_state(self, job_id: str, state: JobState) -> None:
-        if state.final:
-            _keep(self._final, job_id, state)
+    def _is_old(self, job: Job) -> bool:
+        """Return whether the job may have ended so long ago that it is being removed."""
+        age_s = self._clock.read_utc().timestamp() - job.accepted_ms / MS_PER_S
+        return age_s >= self._retention_s * CACHED_PART_OF_RETENTION
 
 
 def _read_owner(payload: bytes) -> JobOwner:
     return find_owner(decode_job(payload))
 
 
-def _keep(cache: dict[str, Kept], job_id: str, kept: Kept) -> None:
-    """Keep what is known of a job, in place of the oldest when there are many."""
-    while len(cache) >= CACHED_JOBS:
-        del cache[next(iter(cache))]
-    cache[job_id] = kept
+def _read_accepted(found: dict[str, StoredRow]) -> Job | None:
+    row = found.get(TABLE_INTAKE)
+    return None if row is None or row.payload is None else decode_job(row.payload)
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -43,7 +43,12 @@
         self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock, self._metrics)
         self._rules = RulesFollower(self._rows, clock)
         self._keeper = TermKeeper(self._rows, settings.name, clock, settings.cores)
-        store = JobStore(self._rows, settings.store_limits.row_bytes)
+        store = JobStore(
+            self._rows,
+            settings.store_limits.row_bytes,
+            settings.timings.status_retention_s,
+            clock,
+        )
         self._job_app = JobApp(self._rules, store, self._keeper, clock, self._metrics)
         self._stopping = False
 
--- a/comfreywind/scheduling/board.py
+++ b/comfreywind/scheduling/board.py
@@ -61,6 +61,7 @@
         self.team_use: dict[str, Resources] = {}
         self.changed_jobs: dict[str, JobRecord] = {}
         self.orphan_cancels: set[str] = set()
+        self.added_jobs_count = 0
         self._closing: dict[str, JobRecord] = {}
 
     # What the store tells
@@ -71,6 +72,7 @@
             return
         record = JobRecord(job, progress, version, settled)
         self.jobs[job.job_id] = record
+        self.added_jobs_count += 1
         if record.open:
             self.open_jobs[job.job_id] = record
         if job.job_id in self.orphan_cancels:
@@ -88,6 +90,13 @@
             record.progress.state = JobState.CANCELLED
             self._close_job(record)
 
+    def drop_job(self, job_id: str) -> None:
+        """Forget a job that has ended and has no runs."""
+        self.jobs.pop(job_id, None)
+        self.changed_jobs.pop(job_id, None)
+        self._closing.pop(job_id, None)
+        self.orphan_cancels.discard(job_id)
+
     def set_aside(self, record: JobRecord, planned_s: float) -> None:
         """Start no more tasks of a job whose plan at that time failed; what runs of it runs on."""
         self.open_jobs.pop(record.job.job_id, None)
@@ -292,8 +301,9 @@
         return changed
 
     def mark_changed(self, record: JobRecord) -> None:
-        """Have the progress of the job stored."""
-        self.changed_jobs[record.job.job_id] = record
+        """Have the progress of the job stored, unless the job was dropped."""
+        if self.jobs.get(record.job.job_id) is record:
+            self.changed_jobs[record.job.job_id] = record
 
     def settle(self, records: Iterable[JobRecord]) -> None:
         """Allow starts of jobs whose runs under an earlier holder are all accounted for."""
--- a/comfreywind/scheduling/demand_watch.py
+++ b/comfreywind/scheduling/demand_watch.py
@@ -27,7 +27,7 @@
         self._policy = policy
         self._surges: dict[str, SurgeMemory] = {}
         self._trends: dict[str, DemandTrend] = {}
-        self._seen_jobs_count = len(board.jobs)
+        self._seen_jobs_count = board.added_jobs_count
 
     def recall(self, now_s: float, now_ms: float) -> None:
         """Learn from the jobs on the board which turns of demand earlier holders have met."""
@@ -47,8 +47,9 @@
     def note_jobs(self, works: Mapping[str, PoolWork], now_s: float) -> None:
         """Take in the jobs that have come since the last look, with the pools as they are now."""
         jobs = self._board.jobs
-        new = list(islice(reversed(jobs.values()), len(jobs) - self._seen_jobs_count))
-        self._seen_jobs_count = len(jobs)
+        added_count = self._board.added_jobs_count
+        new = list(islice(reversed(jobs.values()), added_count - self._seen_jobs_count))
+        self._seen_jobs_count = added_count
         records_by_pool: dict[str, list[JobRecord]] = {pool: [] for pool in self._trends}
         for record in new:
             records_by_pool.setdefault(self._board.find_pool(record), []).append(record)
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -31,6 +31,7 @@
 from comfreywind.scheduling.advice_keeper import AdviceKeeper
 from comfreywind.scheduling.board import Board
 from comfreywind.scheduling.order_turns import OrderTurns
+from comfreywind.scheduling.job_retention import RETENTION_MARGIN_S, JobRetention
 from comfreywind.scheduling.orders import Order
 from comfreywind.scheduling.planner import Planner
 from comfreywind.scheduling.pool_keeper import PoolKeeper
@@ -97,6 +98,13 @@
             term, rows, self.board, self.journal, self._roster, clock, self._is_dead
         )
         self._watch: VmWatch | None = None
+        self._retention = JobRetention(
+            rows,
+            self.board,
+            settings.timings.status_retention_s + RETENTION_MARGIN_S,
+            clock,
+            self._may_order,
+        )
 
     async def run(self) -> None:
         """Load the state, adopt what runs, then plan until cancelled."""
@@ -137,6 +145,7 @@
             self._start('tick', self._tick)
             self._start('levels', self._note_levels)
             self._start('roster', self._roster.run)
+            self._start('retention', self._retention.run)
             self._start('settling', partial(self._settlement.run, self._wake_planner))
             if self._settings.advice_address is not None:
                 client = AdviceClient(self._settings.advice_address)
@@ -256,6 +265,7 @@
 
     def _take_intake(self, row: StoredRow) -> None:
         if row.payload is None:
+            self._retention.note_removed(row.key)
             return
         if row.key.endswith(CANCEL_SUFFIX):
             self.board.cancel_job(row.key.removesuffix(CANCEL_SUFFIX))
@@ -271,6 +281,7 @@
         # A job has no progress row before its first change.
         progress, version = self._old_progress.pop(row.key, (Progress(), 0))
         new = row.version > self._term.taken_version
+        self._retention.note_accepted(row.key, row.version)
         self.board.add_job(job, progress, version, settled=new or self._settlement.done)
         self._wake.set()
 
@@ -340,6 +351,7 @@
     def _set_levels(self) -> None:
         targets = self.board.targets.values()
         self._metrics.set_level('jobs.open', len(self.board.open_jobs))
+        self._metrics.set_level('jobs.kept', len(self.board.jobs))
         self._metrics.set_level(
             'tasks.waiting', sum(len(record.waiting) for record in self.board.open_jobs.values())
         )
--- a/comfreywind/stand_ins/jobs/store_app.py
+++ b/comfreywind/stand_ins/jobs/store_app.py
@@ -52,7 +52,11 @@
         expected = [(_name(row), int(row['schema_ver'])) for row in document['expected_rev']]
         changes = [(*_name(row), row['value']) for row in document['write']]
         changes.extend((*_name(row), None) for row in document['remove'])
-        if not await self._take_turn({change[1] for change in changes}):
+        parts = {name[1] for name in (*(name for name, _ in expected), *changes)}
+        if len(parts) > 1 and not document.get('cross_part'):
+            await self._reply(send, 400, {})
+            return
+        if not await self._take_turn(parts):
             await self._reply(send, 429, {})
             return
         if not self.store.apply(expected, changes):
--- a/tests/field_faults/test_lost_answer.py
+++ b/tests/field_faults/test_lost_answer.py
@@ -15,6 +15,7 @@
 from comfreywind.platform.stored_row import StoredRow
 from comfreywind.scheduling.orders import StartOrder, StopOrder
 from tests.helpers.board_rig import BoardRig, make_job
+from tests.helpers.manual_clock import ManualClock
 
 JOB = make_job()
 TAKEN = RowsChangedError((StoredRow('t', 'p', JOB.job_id, encode_job(JOB), 7),))
@@ -51,7 +52,7 @@
     outcomes: list[int | Exception], expected: bool | type[StoreUnavailableError]
 ) -> None:
     """Guards against `not run` said of a job that may be stored, and against a second job."""
-    store = JobStore(ScriptedRows(list(outcomes)), 65_536)  # type: ignore[arg-type]
+    store = JobStore(ScriptedRows(list(outcomes)), 65_536, 120, ManualClock())  # type: ignore[arg-type]
     if isinstance(expected, bool):
         assert await store.accept(JOB, lambda: True) is expected
         return
--- a/tests/scheduling/test_demand_trend.py
+++ b/tests/scheduling/test_demand_trend.py
@@ -67,9 +67,10 @@
     assert sum(vms > 0 for vms in forecasts_vms) / len(forecasts_vms) < 0.03
 
 
+@pytest.mark.parametrize('removed_each_look', [0, 30])
 @pytest.mark.parametrize(('growth_limit', 'least_vms', 'most_vms'), [(3, 15, 23), (1.2, 12, 12)])
 def test_pool_grows_ahead_of_the_ramp(
-    growth_limit: float, least_vms: float, most_vms: float
+    growth_limit: float, least_vms: float, most_vms: float, removed_each_look: int
 ) -> None:
     """Guards against a first turn whose jobs wait for VMs all through its rise.
 
@@ -77,12 +78,18 @@
     move takes 1.7 s, so half of the jobs of the first seconds were late.
     """
     rig = BoardRig(targets=4)
+    old = [f'ff{number:014x}' for number in range(10 * removed_each_look)]
+    for job_id in old:
+        rig.add_job(make_job(job_id=job_id))
+        rig.board.cancel_job(job_id)
     watch = DemandWatch(rig.board, PoolPolicy(growth_limit=growth_limit))
     for look in range(10):
         # Five more jobs a second in each second, each of which fills a quarter of a VM for a second.
         for number in range(look + 1):
             job = make_job(Step(1, Resources(1000, 100)), job_id=f'{look:08x}{number:08x}')
             rig.add_job(job)
+        for job_id in old[look * removed_each_look :][:removed_each_look]:
+            rig.board.drop_job(job_id)
         watch.note_jobs(group_by_pool(rig.board), look * INTERVAL_S)
     load_vms = sum(range(6, 11)) / 4
     expected_vms = watch.expect_vms(POOL, load_vms, 9 * INTERVAL_S, LEAD_S)
--- /dev/null
+++ b/tests/scheduling/test_job_retention.py
@@ -0,0 +1,261 @@
+"""Jobs that ended long ago are removed, and nothing of them is lost, run again or told wrongly.
+
+Pattern: retention with a time to live, applied in one transaction per batch. Without it the store,
+the holder's memory and the time to take over grow with every job that was ever handed in.
+"""
+
+import base64
+from typing import Any
+
+import pytest
+import trio
+
+from bench.job_fleet import run_job_fleet
+from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.intake.job_store import JobStore
+from comfreywind.jobs.job_codec import encode_job, encode_progress
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.tables import (
+    CANCEL_SUFFIX,
+    TABLE_INTAKE,
+    TABLE_PROGRESS,
+    find_intake_part,
+    find_progress_part,
+)
+from comfreywind.platform.stored_row import RowChange, StoredRow
+from comfreywind.scheduling import holder, job_retention
+from comfreywind.scheduling.board import Board
+from comfreywind.scheduling.job_retention import JobRetention
+from comfreywind.settings.node import JobTimings
+from comfreywind.stand_ins.jobs.row_store import RowStore
+from tests.helpers.board_rig import JOB_ID, QUEUE, TEAM, make_job
+from tests.helpers.manual_clock import ManualClock
+
+RETENTION_S = 100
+OTHER_ID = '00000000000000a2'
+
+
+class MemoryRows:
+    """The store's client without a network; the answers of the next `lost` commits get lost."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.store = RowStore()
+        self.lost = 0
+
+    async def commit(self, part: str, changes: list[RowChange], permit: Any = None) -> int:
+        """Apply the changes."""
+        if permit is not None and not permit():
+            raise StoreUnavailableError('not permitted')
+        names = [(change.table, change.part or part, change.key) for change in changes]
+        pairs = list(zip(names, changes, strict=True))
+        expected = [
+            (name, change.expected_version)
+            for name, change in pairs
+            if change.expected_version is not None
+        ]
+        values = [
+            (*name, None if change.payload is None else base64.b64encode(change.payload).decode())
+            for name, change in pairs
+        ]
+        if not self.store.apply(expected, values):
+            raise RowsChangedError(tuple(map(self.read, (name for name, _ in expected))))
+        if self.lost:
+            self.lost -= 1
+            raise StoreUnavailableError('no answer')
+        return self.store.version
+
+    async def read_row(self, table: str, part: str, key: str) -> StoredRow:
+        """Return a row."""
+        return self.read((table, part, key))
+
+    def read(self, name: tuple[str, str, str]) -> StoredRow:
+        """Return a row."""
+        stored = self.store.rows.get(name)
+        if stored is None or stored.value is None:
+            return StoredRow(*name, None, 0)
+        return StoredRow(*name, base64.b64decode(stored.value), stored.version)
+
+    def count(self) -> int:
+        """Return how many rows there are."""
+        return sum(stored.value is not None for stored in self.store.rows.values())
+
+
+class Rig:
+    """A holder's retention over a store with one job, which has ended unless the state says else."""
+
+    def __init__(self, state: JobState = JobState.COMPLETE) -> None:
+        """Store the job."""
+        self.clock = ManualClock()
+        self.client = MemoryRows()
+        self.rows: Any = self.client
+        self.permitted = True
+        self.state = state
+
+    async def take_over(self) -> None:
+        """Have a new holder read the job."""
+        self.board = Board(1)
+        self.retention = JobRetention(
+            self.rows, self.board, RETENTION_S, self.clock, lambda: self.permitted
+        )
+        accepted = self.client.read((TABLE_INTAKE, find_intake_part(JOB_ID), JOB_ID))
+        progress = self.client.read((TABLE_PROGRESS, find_progress_part(JOB_ID), JOB_ID))
+        self.retention.note_accepted(JOB_ID, accepted.version)
+        self.board.add_job(make_job(), Progress(self.state), progress.version, settled=True)
+
+    async def store_job(self) -> None:
+        """Store the job, its progress and the mark of a cancelling."""
+        intake, other = find_intake_part(JOB_ID), find_progress_part(JOB_ID)
+        await self.rows.commit(intake, [RowChange(TABLE_INTAKE, JOB_ID, encode_job(make_job()))])
+        progress = encode_progress(Progress(self.state))
+        mark = RowChange(TABLE_INTAKE, f'{JOB_ID}{CANCEL_SUFFIX}', b'x')
+        await self.rows.commit(other, [RowChange(TABLE_PROGRESS, JOB_ID, progress), mark])
+
+    async def sweep(self, after_s: float = 0) -> None:
+        """Sweep as the holder does."""
+        self.clock.advance(after_s)
+        try:
+            await self.retention.sweep()
+        except StoreUnavailableError:
+            return
+
+
+async def make_rig(state: JobState = JobState.COMPLETE) -> Rig:
+    """Return a rig whose holder has seen the job once."""
+    rig = Rig(state)
+    await rig.store_job()
+    await rig.take_over()
+    await rig.sweep()
+    return rig
+
+
+async def test_removed_in_time(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against jobs that are kept for ever, or for less than the users' `status_s`."""
+    rig = await make_rig()
+    await rig.sweep(RETENTION_S - 1)
+    assert (rig.client.count(), len(rig.board.jobs)) == (3, 1)
+    await rig.sweep(1)
+    assert (rig.client.count(), len(rig.board.jobs)) == (0, 0)
+
+
+@pytest.mark.parametrize('state', [JobState.QUEUED, JobState.RUNNING])
+async def test_open_jobs_stay(state: JobState, autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against the removal of a job that is not done, however old."""
+    rig = await make_rig(state)
+    await rig.sweep(10 * RETENTION_S)
+    assert (rig.client.count(), len(rig.board.jobs)) == (3, 1)
+
+
+async def test_former_holder(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a removal by a holder whose term has run out meanwhile."""
+    rig = await make_rig()
+    rig.permitted = False
+    await rig.sweep(2 * RETENTION_S)
+    assert rig.client.count() == 3
+
+
+async def test_time_counts_from_the_takeover(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a holder that takes what it has just read for old."""
+    rig = await make_rig()
+    rig.clock.advance(RETENTION_S - 1)
+    await rig.take_over()
+    await rig.sweep()
+    await rig.sweep(RETENTION_S - 1)
+    assert rig.client.count() == 3
+
+
+async def test_progress_written_by_a_caller(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a cancelled job that stays because its row has another version."""
+    rig = await make_rig(JobState.CANCELLED)
+    rig.board.jobs[JOB_ID].progress_version = 0
+    await rig.sweep(RETENTION_S)
+    await rig.sweep()
+    assert (rig.client.count(), len(rig.board.jobs)) == (0, 0)
+
+
+async def test_lost_answer(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a job that stays on the board although its rows are gone."""
+    rig = await make_rig()
+    rig.client.lost = 1
+    await rig.sweep(RETENTION_S)
+    assert (rig.client.count(), len(rig.board.jobs)) == (0, 1)
+    await rig.sweep()
+    assert not rig.board.jobs
+
+
+async def test_id_used_anew_after_a_lost_answer(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a new job under an old id that is removed or never started."""
+    rig = await make_rig()
+    rig.client.lost = 1
+    await rig.sweep(RETENTION_S)
+    store = JobStore(rig.rows, 65_536, RETENTION_S, rig.clock)
+    assert await store.accept(make_job(), lambda: True)
+    await rig.sweep()
+    assert rig.client.count() == 1
+    rig.retention.note_accepted(JOB_ID, rig.client.store.version)
+    rig.board.add_job(make_job(), Progress(), 0, settled=True)
+    await rig.sweep(2 * RETENTION_S)
+    assert rig.client.count() == 1
+    assert JOB_ID in rig.board.open_jobs
+
+
+@pytest.mark.parametrize('state', [JobState.COMPLETE, JobState.QUEUED])
+async def test_nodes_forget_in_time(
+    state: JobState, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a node that tells of a removed job what it remembers of it."""
+    rig = await make_rig(state)
+    store = JobStore(rig.rows, 65_536, RETENTION_S, rig.clock)
+    assert await store.read_state(JOB_ID, TEAM, QUEUE) is state
+    rig.board.jobs[JOB_ID].progress.state = JobState.COMPLETE
+    rig.board.open_jobs.clear()
+    await rig.sweep()
+    await rig.sweep(RETENTION_S)
+    assert rig.client.count() == 0
+    assert await store.read_state(JOB_ID, TEAM, QUEUE) is None
+    assert await store.cancel(JOB_ID, TEAM, QUEUE) is None
+
+
+class RemovingRows(MemoryRows):
+    """A store that removes the job after it has read the accepted row and before its progress."""
+
+    async def read_row(self, table: str, part: str, key: str) -> StoredRow:
+        """Return a row."""
+        if table == TABLE_PROGRESS:
+            await trio.sleep(1)
+        row = self.read((table, part, key))
+        if table == TABLE_INTAKE:
+            self.store.rows.clear()
+        return row
+
+
+async def test_removed_between_two_readings(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a job that is told as queued because its progress is gone already."""
+    rig = Rig()
+    rig.rows = rig.client = RemovingRows()
+    await rig.store_job()
+    store = JobStore(rig.rows, 65_536, RETENTION_S, rig.clock)
+    assert await store.read_state(JOB_ID, TEAM, QUEUE) is None
+
+
+async def test_fleet_forgets_and_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the whole path: rows gone, 410 told, the same id accepted and run once more."""
+    monkeypatch.setattr(job_retention, 'SWEEP_INTERVAL_S', 0.1)
+    monkeypatch.setattr(holder, 'RETENTION_MARGIN_S', 0.2)
+    timings = JobTimings(status_retention_s=0.6)
+    async with run_job_fleet(node_count=2, target_count=1, timings=timings) as fleet:
+        for _ in range(2):
+            assert await fleet.submit(0, JOB_ID, 'work_s=0.05') == 200
+            await fleet.wait_for_state(1, JOB_ID, 'complete')
+            await fleet.wait_for_state(0, JOB_ID, '410')
+        assert await fleet.submit(0, OTHER_ID, 'work_s=30') == 200
+        await trio.sleep(1.5)
+        assert await fleet.read_state(0, OTHER_ID) == 'in_progress'
+        tables = (TABLE_INTAKE, TABLE_PROGRESS)
+        kept = {
+            name[2]
+            for name, stored in fleet.store.store.rows.items()
+            if name[0] in tables and stored.value is not None
+        }
+        assert kept == {OTHER_ID}
