Remove ended jobs without a transaction over several parts

The stand-in had allowed it and no longer does.

Change: the accepted row is replaced by a short one with owner and final state, then progress and mark are removed, then the short row, each under the version that is known. Whoever reads in between learns the state from the short row; a later holder goes on where the earlier one stopped. The progress is removed under its version, so that a holder which read a short row that is gone can't take the progress of a new job with the same id.

Ruled out: removing the rows without the short one (a holder that ends in between leaves a job without progress, which would run again).

--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -12,9 +12,10 @@
 )
 from comfreywind.http.client import Permit
 from comfreywind.intake.recent_cache import RecentCache
+from comfreywind.jobs.ended_job import EndedJob
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_codec import (
-    decode_job,
+    decode_accepted,
     decode_stored_progress,
     encode_job,
     encode_progress,
@@ -60,9 +61,7 @@
         self._retention_s = retention_s
         kept_s = retention_s * CACHED_PART_OF_RETENTION
         self._owners: RecentCache[JobOwner] = RecentCache(CACHED_JOBS, kept_s, clock)
-        self._ended: RecentCache[tuple[JobOwner, JobState]] = RecentCache(
-            CACHED_JOBS, kept_s, clock
-        )
+        self._ended: RecentCache[EndedJob] = RecentCache(CACHED_JOBS, kept_s, clock)
 
     async def accept(self, job: Job, permit: Permit) -> bool:
         """Store a job; return False when its owner has stored a job of that id already.
@@ -88,8 +87,7 @@
         """Return the state of a job, or None when a caller of the team has no such job there."""
         ended = self._ended.get(job_id)
         if ended is not None:
-            owner, state = ended
-            return state if owner.admits(team, queue) else None
+            return ended.state if ended.owner.admits(team, queue) else None
         found = await self._find_progress(job_id, team, queue)
         return None if found is None else found[0].state
 
@@ -131,26 +129,31 @@
         return True
 
     def _check_owner(self, row: StoredRow, job: Job) -> None:
-        if row.payload is not None and not _read_owner(row.payload).admits(job.team, job.queue):
+        if row.payload is not None and not _find_owner(decode_accepted(row.payload)).admits(
+            job.team, job.queue
+        ):
             raise JobIdTakenError(f'the id {job.job_id} is in use')
 
     async def _find_progress(
         self, job_id: str, team: str, queue: Queue
     ) -> tuple[Progress, int] | None:
         """Return the progress of a job and its version, or None without such a job of the team."""
-        progress_row, owner = await self._read_job(job_id)
-        if owner is None:
+        progress_row, accepted = await self._read_job(job_id)
+        if accepted is None:
             return None
+        owner = accepted if isinstance(accepted, JobOwner) else _find_owner(accepted)
         progress = decode_stored_progress(progress_row.payload)
+        if isinstance(accepted, EndedJob):
+            progress.state = accepted.state
         if progress.state.final:
             self._owners.drop(job_id)
-            self._ended.put(job_id, (owner, progress.state))
+            self._ended.put(job_id, EndedJob(owner, progress.state))
         else:
             self._owners.put(job_id, owner)
         return (progress, progress_row.version) if owner.admits(team, queue) else None
 
-    async def _read_job(self, job_id: str) -> tuple[StoredRow, JobOwner | None]:
-        """Return the progress row and the owner, None when there is no such job."""
+    async def _read_job(self, job_id: str) -> tuple[StoredRow, Job | EndedJob | JobOwner | None]:
+        """Return the progress row and what is known of the job, None when there is no such job."""
         owner = self._owners.get(job_id)
         found: dict[str, StoredRow] = {}
 
@@ -162,23 +165,25 @@
         if owner is None:
             readings.append(read_accepted)
         await run_together(readings)
-        job = _read_accepted(found)
-        if found[TABLE_PROGRESS].payload is None and job is not None and self._is_old(job):
+        accepted = _decode_found(found)
+        if found[TABLE_PROGRESS].payload is None and self._is_old(accepted):
             # It may have been removed between the two readings.
             await read_accepted()
-            job = _read_accepted(found)
-        return found[TABLE_PROGRESS], owner if job is None else find_owner(job)
+            accepted = _decode_found(found)
+        return found[TABLE_PROGRESS], owner or accepted
 
-    def _is_old(self, job: Job) -> bool:
+    def _is_old(self, accepted: Job | EndedJob | None) -> bool:
         """Return whether the job may have ended so long ago that it is being removed."""
-        age_s = self._clock.read_utc().timestamp() - job.accepted_ms / MS_PER_S
+        if not isinstance(accepted, Job):
+            return False
+        age_s = self._clock.read_utc().timestamp() - accepted.accepted_ms / MS_PER_S
         return age_s >= self._retention_s * CACHED_PART_OF_RETENTION
 
 
-def _read_owner(payload: bytes) -> JobOwner:
-    return find_owner(decode_job(payload))
+def _find_owner(accepted: Job | EndedJob) -> JobOwner:
+    return accepted.owner if isinstance(accepted, EndedJob) else find_owner(accepted)
 
 
-def _read_accepted(found: dict[str, StoredRow]) -> Job | None:
+def _decode_found(found: dict[str, StoredRow]) -> Job | EndedJob | None:
     row = found.get(TABLE_INTAKE)
-    return None if row is None or row.payload is None else decode_job(row.payload)
+    return None if row is None or row.payload is None else decode_accepted(row.payload)
--- /dev/null
+++ b/comfreywind/jobs/ended_job.py
@@ -0,0 +1,14 @@
+"""What stands in the place of a job that is being removed."""
+
+from dataclasses import dataclass
+
+from comfreywind.jobs.job_owner import JobOwner
+from comfreywind.jobs.job_state import JobState
+
+
+@dataclass(frozen=True, slots=True)
+class EndedJob:
+    """Owner and final state of a job whose progress is removed next."""
+
+    owner: JobOwner
+    state: JobState
--- a/comfreywind/jobs/job_codec.py
+++ b/comfreywind/jobs/job_codec.py
@@ -5,16 +5,20 @@
 
 import msgpack
 
+from comfreywind.jobs.ended_job import EndedJob
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_limits import find_excess
+from comfreywind.jobs.job_owner import JobOwner
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.queue import Queue
 from comfreywind.jobs.resources import Resources
-from comfreywind.jobs.row_format import RowFormatError
+from comfreywind.jobs.row_format import RowFormatError, reading_row
 from comfreywind.jobs.step import Step
 
 FORMAT_VERSION = 1
+# In the place of the job's id, which is hexadecimal.
+ENDED_MARK = 'ended'
 
 
 def encode_job(job: Job) -> bytes:
@@ -37,6 +41,20 @@
     return job
 
 
+def encode_ended_job(ended: EndedJob) -> bytes:
+    """Return the value of the row that stands for a job which is being removed."""
+    return _pack([FORMAT_VERSION, ENDED_MARK, ended.state.value, *astuple(ended.owner)])
+
+
+def decode_accepted(value: bytes) -> Job | EndedJob:
+    """Return the job of a row, or what stands for it; raise RowFormatError when it can't be read."""
+    row = _unpack(value)
+    if len(row) < 2 or row[1] != ENDED_MARK:
+        return decode_job(value)
+    with reading_row('row of an ended job'):
+        return EndedJob(JobOwner(*row[3:]), JobState(row[2]))
+
+
 def _check_job(job: Job) -> tuple[Job, str | None]:
     """Return the job and which limit it is beyond; raise TypeError for fields of another type."""
     return job, find_excess(job)
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -60,9 +60,7 @@
     async def commit(
         self, part: str, changes: Sequence[RowChange], permit: Permit | None = None
     ) -> int:
-        """Commit all changes or none; return the version they got.
-
-        Changes of several parts take the store twice as long.
+        """Commit all changes to rows of one part or none; return the version they got.
 
         Raises RowsChangedError when an expected version was not met and StoreRefusedError when the
         store refused the call, or `permit` was False when it was to be sent: nothing was written.
@@ -189,12 +187,10 @@
 
 def _encode_changes(part: str, changes: Sequence[RowChange]) -> dict[str, Any]:
     rows = [
-        (change, {'table_name': change.table, 'part': change.part or part, 'key': change.key})
+        (change, {'table_name': change.table, 'part': part, 'key': change.key})
         for change in changes
     ]
-    several = {'cross_part': True} if len({row['part'] for _, row in rows}) > 1 else {}
     return {
-        **several,
         'expected_rev': [
             {**row, 'schema_ver': change.expected_version}
             for change, row in rows
--- a/comfreywind/platform/stored_row.py
+++ b/comfreywind/platform/stored_row.py
@@ -19,14 +19,13 @@
     """Writes `payload`, or removes the row for None.
 
     With an `expected_version` the transaction is refused unless the row has it; 0 means that the
-    row must not exist. `part` is set for a row of another part than the transaction's.
+    row must not exist.
     """
 
     table: str
     key: str
     payload: bytes | None
     expected_version: int | None = None
-    part: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -9,7 +9,8 @@
 from comfreywind.clock import Clock
 from comfreywind.decisions.scheduling.pool_size import USUAL_POLICY
 from comfreywind.errors import StoreUnavailableError
-from comfreywind.jobs.job_codec import decode_job, decode_progress
+from comfreywind.jobs.ended_job import EndedJob
+from comfreywind.jobs.job_codec import decode_accepted, decode_progress
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.row_format import RowFormatError
 from comfreywind.jobs.tables import (
@@ -272,7 +273,7 @@
             self._wake.set()
             return
         try:
-            job = decode_job(row.payload)
+            accepted = decode_accepted(row.payload)
         except RowFormatError as error:
             log.warning('job %s is not read: %s', row.key, error)
             return
@@ -280,9 +281,12 @@
             return
         # A job has no progress row before its first change.
         progress, version = self._old_progress.pop(row.key, (Progress(), 0))
+        if isinstance(accepted, EndedJob):
+            self._retention.note_ended(row.key, row.version, version)
+            return
         new = row.version > self._term.taken_version
         self._retention.note_accepted(row.key, row.version)
-        self.board.add_job(job, progress, version, settled=new or self._settlement.done)
+        self.board.add_job(accepted, progress, version, settled=new or self._settlement.done)
         self._wake.set()
 
     # Targets
--- /dev/null
+++ b/comfreywind/scheduling/removal.py
@@ -0,0 +1,13 @@
+"""A job that is being removed from the store."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Removal:
+    """Versions of the short row and of the progress; `cleared` once the progress is gone."""
+
+    job_id: str
+    version: int
+    progress_version: int
+    cleared: bool = False
--- a/comfreywind/stand_ins/jobs/store_app.py
+++ b/comfreywind/stand_ins/jobs/store_app.py
@@ -53,7 +53,7 @@
         changes = [(*_name(row), row['value']) for row in document['write']]
         changes.extend((*_name(row), None) for row in document['remove'])
         parts = {name[1] for name in (*(name for name, _ in expected), *changes)}
-        if len(parts) > 1 and not document.get('cross_part'):
+        if len(parts) > 1:
             await self._reply(send, 400, {})
             return
         if not await self._take_turn(parts):
--- a/tests/scheduling/test_job_retention.py
+++ b/tests/scheduling/test_job_retention.py
@@ -1,6 +1,6 @@
 """Jobs that ended long ago are removed, and nothing of them is lost, run again or told wrongly.
 
-Pattern: retention with a time to live, applied in one transaction per batch. Without it the store,
+Pattern: retention with a time to live, with a short row while parts are cleared one by one. Without it the store,
 the holder's memory and the time to take over grow with every job that was ever handed in.
 """
 
@@ -13,7 +13,8 @@
 from bench.job_fleet import run_job_fleet
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
 from comfreywind.intake.job_store import JobStore
-from comfreywind.jobs.job_codec import encode_job, encode_progress
+from comfreywind.jobs.ended_job import EndedJob
+from comfreywind.jobs.job_codec import decode_accepted, encode_job, encode_progress
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.tables import (
@@ -37,7 +38,7 @@
 
 
 class MemoryRows:
-    """The store's client without a network; the answers of the next `lost` commits get lost."""
+    """The store's client without a network; commits get no answer while `lost` counts down to 0."""
 
     def __init__(self) -> None:
         """Start empty."""
@@ -48,7 +49,7 @@
         """Apply the changes."""
         if permit is not None and not permit():
             raise StoreUnavailableError('not permitted')
-        names = [(change.table, change.part or part, change.key) for change in changes]
+        names = [(change.table, part, change.key) for change in changes]
         pairs = list(zip(names, changes, strict=True))
         expected = [
             (name, change.expected_version)
@@ -61,8 +62,8 @@
         ]
         if not self.store.apply(expected, values):
             raise RowsChangedError(tuple(map(self.read, (name for name, _ in expected))))
-        if self.lost:
-            self.lost -= 1
+        self.lost -= 1
+        if self.lost == 0:
             raise StoreUnavailableError('no answer')
         return self.store.version
 
@@ -101,6 +102,11 @@
         )
         accepted = self.client.read((TABLE_INTAKE, find_intake_part(JOB_ID), JOB_ID))
         progress = self.client.read((TABLE_PROGRESS, find_progress_part(JOB_ID), JOB_ID))
+        if accepted.payload is None:
+            return
+        if isinstance(decode_accepted(accepted.payload), EndedJob):
+            self.retention.note_ended(JOB_ID, accepted.version, progress.version)
+            return
         self.retention.note_accepted(JOB_ID, accepted.version)
         self.board.add_job(make_job(), Progress(self.state), progress.version, settled=True)
 
@@ -174,30 +180,64 @@
     assert (rig.client.count(), len(rig.board.jobs)) == (0, 0)
 
 
-async def test_lost_answer(autojump_clock: trio.testing.MockClock) -> None:
-    """Guards against a job that stays on the board although its rows are gone."""
+@pytest.mark.parametrize('taken_over', [False, True])
+@pytest.mark.parametrize('lost', [1, 2, 3])
+async def test_lost_answer(
+    lost: int, taken_over: bool, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a removal that stops half-way, or a job that runs again because of it."""
     rig = await make_rig()
-    rig.client.lost = 1
+    rig.client.lost = lost
     await rig.sweep(RETENTION_S)
-    assert (rig.client.count(), len(rig.board.jobs)) == (0, 1)
+    assert await JobStore(rig.rows, 65_536, RETENTION_S, rig.clock).read_state(
+        JOB_ID, TEAM, QUEUE
+    ) in {JobState.COMPLETE, None}
+    if taken_over:
+        await rig.take_over()
+        assert not rig.board.jobs
     await rig.sweep()
-    assert not rig.board.jobs
+    await rig.sweep()
+    assert (rig.client.count(), len(rig.board.jobs)) == (0, 0)
 
 
-async def test_id_used_anew_after_a_lost_answer(autojump_clock: trio.testing.MockClock) -> None:
+@pytest.mark.parametrize('told', [False, True])
+async def test_id_used_anew_after_a_lost_answer(
+    told: bool, autojump_clock: trio.testing.MockClock
+) -> None:
     """Guards against a new job under an old id that is removed or never started."""
     rig = await make_rig()
+    rig.client.lost = 3
+    await rig.sweep(RETENTION_S)
+    store = JobStore(rig.rows, 65_536, RETENTION_S, rig.clock)
+    assert await store.accept(make_job(), lambda: True)
+    version = rig.client.store.version
+    change = RowChange(TABLE_PROGRESS, JOB_ID, encode_progress(Progress(JobState.RUNNING)), 0)
+    await rig.rows.commit(find_progress_part(JOB_ID), [change])
+    for _ in range(2):
+        if told:
+            rig.retention.note_accepted(JOB_ID, version)
+            rig.board.add_job(make_job(), Progress(), 0, settled=True)
+        await rig.sweep(2 * RETENTION_S)
+    assert rig.client.count() == 2
+    assert (JOB_ID in rig.board.open_jobs) is told
+
+
+async def test_id_used_anew_during_a_takeover(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a holder that clears the progress of a new job for the one it read of."""
+    rig = await make_rig()
     rig.client.lost = 1
     await rig.sweep(RETENTION_S)
+    former = rig.retention
+    await rig.take_over()
+    for _ in range(2):
+        await former.sweep()
     store = JobStore(rig.rows, 65_536, RETENTION_S, rig.clock)
     assert await store.accept(make_job(), lambda: True)
-    await rig.sweep()
-    assert rig.client.count() == 1
-    rig.retention.note_accepted(JOB_ID, rig.client.store.version)
-    rig.board.add_job(make_job(), Progress(), 0, settled=True)
-    await rig.sweep(2 * RETENTION_S)
-    assert rig.client.count() == 1
-    assert JOB_ID in rig.board.open_jobs
+    change = RowChange(TABLE_PROGRESS, JOB_ID, encode_progress(Progress(JobState.RUNNING)), 0)
+    await rig.rows.commit(find_progress_part(JOB_ID), [change])
+    for _ in range(2):
+        await rig.sweep()
+    assert rig.client.count() == 2
 
 
 @pytest.mark.parametrize('state', [JobState.COMPLETE, JobState.QUEUED])
