--- a/comfreywind/jobs/ended_job.py
+++ b/comfreywind/jobs/ended_job.py
@@ -1,4 +1,4 @@
-"""What stands in the place of a job that is being removed."""
+"""What the tombstone of a job tells."""
 
 from dataclasses import dataclass
 
--- a/comfreywind/jobs/job_codec.py
+++ b/comfreywind/jobs/job_codec.py
@@ -18,7 +18,7 @@
 
 FORMAT_VERSION = 1
 # In the place of the job's id, which is hexadecimal.
-ENDED_MARK = 'ended'
+TOMBSTONE_MARK = 'ended'
 
 
 def encode_job(job: Job) -> bytes:
@@ -41,17 +41,17 @@
     return job
 
 
-def encode_ended_job(ended: EndedJob) -> bytes:
-    """Return the value of the row that stands for a job which is being removed."""
-    return _pack([FORMAT_VERSION, ENDED_MARK, ended.state.value, *astuple(ended.owner)])
+def encode_tombstone(ended: EndedJob) -> bytes:
+    """Return the tombstone of a job that is being removed."""
+    return _pack([FORMAT_VERSION, TOMBSTONE_MARK, ended.state.value, *astuple(ended.owner)])
 
 
 def decode_accepted(value: bytes) -> Job | EndedJob:
-    """Return the job of a row, or what stands for it; raise RowFormatError when it can't be read."""
+    """Return the job of a row, or what its tombstone tells; raise RowFormatError when it can't be read."""
     row = _unpack(value)
-    if len(row) < 2 or row[1] != ENDED_MARK:
+    if len(row) < 2 or row[1] != TOMBSTONE_MARK:
         return decode_job(value)
-    with reading_row('row of an ended job'):
+    with reading_row('tombstone of a job'):
         return EndedJob(JobOwner(*row[3:]), JobState(row[2]))
 
 
--- a/comfreywind/scheduling/job_retention.py
+++ b/comfreywind/scheduling/job_retention.py
@@ -9,7 +9,7 @@
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
 from comfreywind.http.client import Permit
 from comfreywind.jobs.ended_job import EndedJob
-from comfreywind.jobs.job_codec import decode_accepted, encode_ended_job
+from comfreywind.jobs.job_codec import decode_accepted, encode_tombstone
 from comfreywind.jobs.job_owner import find_owner
 from comfreywind.jobs.row_format import RowFormatError
 from comfreywind.jobs.tables import (
@@ -40,8 +40,8 @@
     """Removes a job `retention_s` after this holder first saw it ended.
 
     The rows of a job are in two parts, and a transaction changes one. So the accepted row is
-    replaced by a short one with the final state, then progress and mark are removed, then the short
-    row. Whoever reads in between learns the state from it, and a later holder goes on there.
+    replaced by a tombstone with the final state, then progress and mark are removed, then the
+    tombstone. Who reads in between learns the state from it, and a later holder goes on there.
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         self._versions[job_id] = version
 
     def note_ended(self, job_id: str, version: int, progress_version: int) -> None:
-        """Note that a short row stands for the job; its progress was last seen at the version."""
+        """Note that a tombstone stands for the job; its progress was last seen at the version."""
         record = self._board.jobs.get(job_id)
         if record is not None:
             progress_version = record.progress_version
@@ -126,16 +126,17 @@
         return job_id in self._versions and now_s - ended_s >= self._retention_s
 
     async def _replace(self, part: str, job_ids: Sequence[str]) -> None:
-        """Put short rows in the place of the accepted ones."""
+        """Put tombstones in the place of the accepted ones."""
         changes: list[RowChange] = []
-        records = [self._board.jobs[job_id] for job_id in job_ids if job_id in self._board.jobs]
+        jobs = self._board.jobs
+        records = [jobs[each] for each in job_ids if each in jobs and each in self._versions]
         for record in records:
             ended = EndedJob(find_owner(record.job), record.progress.state)
             job_id = record.job.job_id
             version = self._versions[job_id]
-            changes.append(RowChange(TABLE_INTAKE, job_id, encode_ended_job(ended), version))
+            changes.append(RowChange(TABLE_INTAKE, job_id, encode_tombstone(ended), version))
         try:
-            version = await self._rows.commit(part, changes, self._permit)
+            version = await self._commit(part, changes)
         except RowsChangedError as error:
             for row in error.rows:
                 self._note_replaced(row)
@@ -147,11 +148,11 @@
         """Take in a row that this holder has changed without having got an answer."""
         if row.payload is None:
             self.note_removed(row.key)
-        elif _is_short(row.payload):
+        elif _is_tombstone(row.payload):
             self.note_ended(row.key, row.version, 0)
 
     async def _clear(self, part: str, job_ids: Sequence[str]) -> None:
-        """Remove progress and marks of jobs for which a short row stands."""
+        """Remove progress and marks of jobs for which a tombstone stands."""
         changes: list[RowChange] = []
         removals = list(self._find_removals(job_ids))
         for removal in removals:
@@ -161,7 +162,7 @@
                 RowChange(TABLE_INTAKE, mark, None),
             ]
         try:
-            await self._rows.commit(part, changes, self._permit)
+            await self._commit(part, changes)
         except RowsChangedError as error:
             for row in error.rows:
                 await self._note_progress(row)
@@ -172,25 +173,25 @@
     async def _note_progress(self, row: StoredRow) -> None:
         """Take in the version of a progress row, if it is certain that it is of the ended job.
 
-        A row read while the short one stands is: the id can't be used anew before that is gone.
+        A row read while the tombstone stands is: the id can't be used anew before that is gone.
         """
         removal = self._removals.get(row.key)
         if removal is None or removal.progress_version == row.version:
             return
-        short = await self._rows.read_row(TABLE_INTAKE, find_intake_part(row.key), row.key)
-        if short.version == removal.version:
+        tombstone = await self._rows.read_row(TABLE_INTAKE, find_intake_part(row.key), row.key)
+        if tombstone.version == removal.version:
             removal.progress_version = 0 if row.payload is None else row.version
         else:
             self._removals.pop(row.key, None)
 
     async def _remove(self, part: str, job_ids: Sequence[str]) -> None:
-        """Remove short rows whose progress is gone."""
+        """Remove tombstones whose progress is gone."""
         removals = list(self._find_removals(job_ids))
         changes = [
             RowChange(TABLE_INTAKE, removal.job_id, None, removal.version) for removal in removals
         ]
         try:
-            await self._rows.commit(part, changes, self._permit)
+            await self._commit(part, changes)
         except RowsChangedError as error:
             # Removed before, without an answer; the id may be in use anew.
             changed = {row.key: row.version for row in error.rows}
@@ -198,6 +199,10 @@
         for removal in removals:
             self._removals.pop(removal.job_id, None)
 
+    async def _commit(self, part: str, changes: Sequence[RowChange]) -> int:
+        """Commit what the jobs still need; they may have been dropped while others were committed."""
+        return await self._rows.commit(part, changes, self._permit) if changes else 0
+
     def _find_removals(self, job_ids: Sequence[str]) -> Iterator[Removal]:
         return (self._removals[job_id] for job_id in job_ids if job_id in self._removals)
 
@@ -209,7 +214,7 @@
         self._ended_s.pop(job_id, None)
 
 
-def _is_short(payload: bytes) -> bool:
+def _is_tombstone(payload: bytes) -> bool:
     try:
         return isinstance(decode_accepted(payload), EndedJob)
     except RowFormatError as error:
--- a/comfreywind/scheduling/removal.py
+++ b/comfreywind/scheduling/removal.py
@@ -5,7 +5,7 @@
 
 @dataclass(slots=True)
 class Removal:
-    """Versions of the short row and of the progress; `cleared` once the progress is gone."""
+    """Versions of the tombstone and of the progress; `cleared` once the progress is gone."""
 
     job_id: str
     version: int
--- a/tests/scheduling/test_job_retention.py
+++ b/tests/scheduling/test_job_retention.py
@@ -1,6 +1,6 @@
 """Jobs that ended long ago are removed, and nothing of them is lost, run again or told wrongly.
 
-Pattern: retention with a time to live, with a short row while parts are cleared one by one. Without it the store,
+Pattern: retention with a time to live, with a tombstone while the parts are cleared one by one. Without it the store,
 the holder's memory and the time to take over grow with every job that was ever handed in.
 """
 
