Read tombstones in the commands that report on jobs

Found on a second reading: `comfreywind jobs show` and `jobs list` decode the accepted rows themselves, and failed with an error of the row's format while a tombstone stood for one of the jobs. `list` failed for the whole queue. Now `show` tells the final state from the tombstone, and `list` leaves such jobs out as it does ended ones. `show` reads the progress first, so that a removal in between can't make an ended job look queued.

The new test failed before.

--- a/comfreywind/report/fleet_report.py
+++ b/comfreywind/report/fleet_report.py
@@ -4,7 +4,7 @@
 
 from comfreywind.errors import JobMissingError, StoreUnavailableError
 from comfreywind.jobs.job import Job
-from comfreywind.jobs.job_codec import decode_job, decode_stored_progress
+from comfreywind.jobs.job_codec import decode_accepted, decode_stored_progress
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.row_format import RowFormatError
@@ -101,12 +101,14 @@
 
 
 async def _read_jobs(rows: RowsClient) -> list[Job]:
-    jobs: list[Job] = []
-    for page in await rows.read_parts(TABLE_INTAKE, INTAKE_PARTS):
-        for row in page.rows:
-            if row.payload is not None and not row.key.endswith(CANCEL_SUFFIX):
-                jobs.append(decode_job(row.payload))
-    return jobs
+    """Return the stored jobs without those that are being removed."""
+    accepted = [
+        decode_accepted(row.payload)
+        for page in await rows.read_parts(TABLE_INTAKE, INTAKE_PARTS)
+        for row in page.rows
+        if row.payload is not None and not row.key.endswith(CANCEL_SUFFIX)
+    ]
+    return [job for job in accepted if isinstance(job, Job)]
 
 
 def _describe_open_job(job: Job, row: StoredRow | None) -> Cells | None:
--- a/comfreywind/report/job_report.py
+++ b/comfreywind/report/job_report.py
@@ -1,8 +1,11 @@
 """What an operator is told of jobs, read from the rows in the platform's store."""
 
+from functools import singledispatch
+
 from comfreywind.errors import JobMissingError
+from comfreywind.jobs.ended_job import EndedJob
 from comfreywind.jobs.job import Job
-from comfreywind.jobs.job_codec import decode_job, decode_stored_progress
+from comfreywind.jobs.job_codec import decode_accepted, decode_stored_progress
 from comfreywind.jobs.progress import Progress
 from comfreywind.jobs.tables import (
     TABLE_INTAKE,
@@ -17,16 +20,18 @@
 from comfreywind.scheduling.term_row import TermRow, decode_term
 
 ReportRow = tuple[str, object]
+OPEN_TO_ALL = '(open to all)'
 
 
 async def read_job_report(rows: RowsClient, job_id: str) -> list[ReportRow]:
     """Return names and values that describe a job; raise JobMissingError when there is none."""
-    job_row = await rows.read_row(TABLE_INTAKE, find_intake_part(job_id), job_id)
+    # Progress is removed before the last row of a job.
     progress_row = await rows.read_row(TABLE_PROGRESS, find_progress_part(job_id), job_id)
+    job_row = await rows.read_row(TABLE_INTAKE, find_intake_part(job_id), job_id)
     if job_row.payload is None:
         raise JobMissingError(f'no job {job_id} is stored')
     progress = decode_stored_progress(progress_row.payload)
-    return describe_job(decode_job(job_row.payload), progress)
+    return [('job', job_id), *describe_job(decode_accepted(job_row.payload), progress)]
 
 
 async def read_holder_report(rows: RowsClient) -> list[ReportRow]:
@@ -39,12 +44,26 @@
     return report
 
 
-def describe_job(job: Job, progress: Progress) -> list[ReportRow]:
+@singledispatch
+def describe_job(accepted: object, progress: Progress) -> list[ReportRow]:
     """Return names and values: state, what is done of each step, and why the job has not ended."""
+    raise TypeError(f'unknown row of a job {accepted!r}')
+
+
+@describe_job.register
+def _describe_ended(ended: EndedJob, progress: Progress) -> list[ReportRow]:
+    return [
+        ('state', ended.state.value),
+        ('team', ended.owner.team or OPEN_TO_ALL),
+        ('queue', ended.owner.queue),
+    ]
+
+
+@describe_job.register
+def _describe_kept(job: Job, progress: Progress) -> list[ReportRow]:
     report: list[ReportRow] = [
-        ('job', job.job_id),
         ('state', progress.state.value),
-        ('team', job.team or '(open to all)'),
+        ('team', job.team or OPEN_TO_ALL),
         ('queue', job.queue.name),
         ('pool', job.queue.pool),
     ]
--- a/tests/test_jobs_command.py
+++ b/tests/test_jobs_command.py
@@ -1,10 +1,17 @@
 """`comfreywind jobs` against the stand-ins."""
 
+import base64
+
 import pytest
 import trio
 
-from bench.job_fleet import run_job_fleet
+from bench.job_fleet import PREFIX, QUEUE_HOST, run_job_fleet
 from comfreywind.exit_status import ExitStatus
+from comfreywind.jobs.ended_job import EndedJob
+from comfreywind.jobs.job_codec import encode_tombstone
+from comfreywind.jobs.job_owner import JobOwner
+from comfreywind.jobs.job_state import JobState
+from comfreywind.jobs.tables import TABLE_INTAKE, find_intake_part
 from tests.helpers.program import ProgramResult, run_program
 
 JOB = '00000000000000c1'
@@ -82,3 +89,19 @@
         assert JOB not in shown.stdout
         unknown = await run_jobs('list', 'nowhere', '--store', store)
         assert unknown.exit_status is ExitStatus.REFUSED
+
+
+async def test_job_that_is_being_removed() -> None:
+    """Guards against commands that fail while a tombstone stands for one of the jobs."""
+    async with run_job_fleet(node_count=1, target_count=1) as fleet:
+        store = str(fleet.store_address)
+        owner = JobOwner('crews', 'rebuild', QUEUE_HOST, PREFIX)
+        tombstone = base64.b64encode(encode_tombstone(EndedJob(owner, JobState.FAILED))).decode()
+        name = (TABLE_INTAKE, find_intake_part(JOB), JOB)
+        fleet.store.store.apply([], [(*name, tombstone)])
+        shown = await run_jobs('show', JOB, '--store', store)
+        assert 'failed' in shown.stdout
+        assert 'crews' in shown.stdout
+        listed = await run_jobs('list', 'rebuild', '--store', store)
+        assert listed.exit_status is ExitStatus.SUCCESS
+        assert JOB not in listed.stdout
