Tidy after a second reading: owners by type, rows unpacked once, shared set-ups

find_owner serves jobs and tombstones by singledispatch, in place of a copy in the job store, whose reading of a job no longer returns one of four types. A job's row was unpacked twice to see whether it is a tombstone. OrderTurns.is_over has no caller outside any more and is private; the stub of it in a test is gone. Two test modules share their set-ups.

--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -129,19 +129,21 @@
         return True
 
     def _check_owner(self, row: StoredRow, job: Job) -> None:
-        if row.payload is not None and not _find_owner(decode_accepted(row.payload)).admits(
-            job.team, job.queue
-        ):
+        if row.payload is None:
+            return
+        if not find_owner(decode_accepted(row.payload)).admits(job.team, job.queue):
             raise JobIdTakenError(f'the id {job.job_id} is in use')
 
     async def _find_progress(
         self, job_id: str, team: str, queue: Queue
     ) -> tuple[Progress, int] | None:
         """Return the progress of a job and its version, or None without such a job of the team."""
-        progress_row, accepted = await self._read_job(job_id)
-        if accepted is None:
+        owner = self._owners.get(job_id)
+        progress_row, accepted = await self._read_job(job_id, owner is None)
+        if accepted is not None:
+            owner = find_owner(accepted)
+        if owner is None:
             return None
-        owner = accepted if isinstance(accepted, JobOwner) else _find_owner(accepted)
         progress = decode_stored_progress(progress_row.payload)
         if isinstance(accepted, EndedJob):
             progress.state = accepted.state
@@ -152,9 +154,10 @@
             self._owners.put(job_id, owner)
         return (progress, progress_row.version) if owner.admits(team, queue) else None
 
-    async def _read_job(self, job_id: str) -> tuple[StoredRow, Job | EndedJob | JobOwner | None]:
-        """Return the progress row and what is known of the job, None when there is no such job."""
-        owner = self._owners.get(job_id)
+    async def _read_job(
+        self, job_id: str, with_accepted: bool
+    ) -> tuple[StoredRow, Job | EndedJob | None]:
+        """Return the progress row and, if asked for, the accepted job or what its tombstone tells."""
         found: dict[str, StoredRow] = {}
 
         async def read(table: str, part: str) -> None:
@@ -162,7 +165,7 @@
 
         read_accepted = partial(read, TABLE_INTAKE, find_intake_part(job_id))
         readings = [partial(read, TABLE_PROGRESS, find_progress_part(job_id))]
-        if owner is None:
+        if with_accepted:
             readings.append(read_accepted)
         await run_together(readings)
         accepted = _decode_found(found)
@@ -170,7 +173,7 @@
             # It may have been removed between the two readings.
             await read_accepted()
             accepted = _decode_found(found)
-        return found[TABLE_PROGRESS], owner or accepted
+        return found[TABLE_PROGRESS], accepted
 
     def _is_old(self, accepted: Job | EndedJob | None) -> bool:
         """Return whether the job may have ended so long ago that it is being removed."""
@@ -180,10 +183,6 @@
         return age_s >= self._retention_s * CACHED_PART_OF_RETENTION
 
 
-def _find_owner(accepted: Job | EndedJob) -> JobOwner:
-    return accepted.owner if isinstance(accepted, EndedJob) else find_owner(accepted)
-
-
 def _decode_found(found: dict[str, StoredRow]) -> Job | EndedJob | None:
     row = found.get(TABLE_INTAKE)
     return None if row is None or row.payload is None else decode_accepted(row.payload)
--- a/comfreywind/jobs/ended_job.py
+++ b/comfreywind/jobs/ended_job.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from comfreywind.jobs.job_owner import JobOwner
+from comfreywind.jobs.job_owner import JobOwner, find_owner
 from comfreywind.jobs.job_state import JobState
 
 
@@ -12,3 +12,8 @@
 
     owner: JobOwner
     state: JobState
+
+
+@find_owner.register
+def _find_ended_owner(ended: EndedJob) -> JobOwner:
+    return ended.owner
--- a/comfreywind/jobs/job_codec.py
+++ b/comfreywind/jobs/job_codec.py
@@ -29,18 +29,6 @@
     return _pack(row)
 
 
-def decode_job(value: bytes) -> Job:
-    """Return the job of a row; raise RowFormatError when it can't be read."""
-    row = _unpack(value)
-    try:
-        job, excess = _check_job(_make_job(*row[1:]))
-    except (TypeError, ValueError) as error:
-        raise RowFormatError(f'row of a job: {error}') from error
-    if excess is not None:
-        raise RowFormatError(f'row of a job: {excess}')
-    return job
-
-
 def encode_tombstone(ended: EndedJob) -> bytes:
     """Return the tombstone of a job that is being removed."""
     return _pack([FORMAT_VERSION, TOMBSTONE_MARK, ended.state.value, *astuple(ended.owner)])
@@ -49,10 +37,20 @@
 def decode_accepted(value: bytes) -> Job | EndedJob:
     """Return the job of a row, or what its tombstone tells; raise RowFormatError when it can't be read."""
     row = _unpack(value)
-    if len(row) < 2 or row[1] != TOMBSTONE_MARK:
-        return decode_job(value)
-    with reading_row('tombstone of a job'):
-        return EndedJob(JobOwner(*row[3:]), JobState(row[2]))
+    if row[1:2] == [TOMBSTONE_MARK]:
+        with reading_row('tombstone of a job'):
+            return EndedJob(JobOwner(*row[3:]), JobState(row[2]))
+    return _decode_job(row)
+
+
+def _decode_job(row: list[Any]) -> Job:
+    try:
+        job, excess = _check_job(_make_job(*row[1:]))
+    except (TypeError, ValueError) as error:
+        raise RowFormatError(f'row of a job: {error}') from error
+    if excess is not None:
+        raise RowFormatError(f'row of a job: {excess}')
+    return job
 
 
 def _check_job(job: Job) -> tuple[Job, str | None]:
--- a/comfreywind/jobs/job_owner.py
+++ b/comfreywind/jobs/job_owner.py
@@ -1,6 +1,7 @@
 """To whom a job belongs."""
 
 from dataclasses import dataclass
+from functools import singledispatch
 
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.queue import Queue
@@ -30,6 +31,12 @@
         return queue.open_to_all or self.team in {'', team}
 
 
-def find_owner(job: Job) -> JobOwner:
-    """Return the owner of a job."""
+@singledispatch
+def find_owner(accepted: object) -> JobOwner:
+    """Return the owner of a job, or of one of which a tombstone is left."""
+    raise TypeError(f'unknown row of a job {accepted!r}')
+
+
+@find_owner.register
+def _find_job_owner(job: Job) -> JobOwner:
     return JobOwner(job.team, job.queue.name, job.queue.host, job.queue.prefix)
--- a/comfreywind/scheduling/job_retention.py
+++ b/comfreywind/scheduling/job_retention.py
@@ -25,6 +25,7 @@
 from comfreywind.scheduling.job_record import JobRecord
 from comfreywind.scheduling.removal import Removal
 
+# Small beside the retention, so that the jobs of a look fit in a few transactions of each part.
 SWEEP_INTERVAL_S = 5.0
 # A caller may ask for the state until the end of the period, and its call may be slow.
 RETENTION_MARGIN_S = 30.0
--- a/comfreywind/scheduling/order_turns.py
+++ b/comfreywind/scheduling/order_turns.py
@@ -59,14 +59,9 @@
         self._version = row.version
         self._earlier_ms = self._read_row(row)
 
-    def is_over(self) -> bool:
-        """Return whether the turn of any earlier holder is over."""
-        waited_s = self._clock.read_monotonic_s() - self._term.taken_s
-        return self._term.epoch == 1 or waited_s >= self._turn_s + ARRIVAL_MARGIN_S
-
     def is_open(self, vm: str) -> bool:
         """Return whether no earlier holder can have ordered the VM within the turn."""
-        if self.is_over():
+        if self._is_over():
             return True
         if self._all_wait:
             return False
@@ -101,6 +96,11 @@
         self._send_until_s.update(dict.fromkeys(vms, now_s + window_s))
         return True
 
+    def _is_over(self) -> bool:
+        """Return whether the turn of any earlier holder is over."""
+        waited_s = self._clock.read_monotonic_s() - self._term.taken_s
+        return self._term.epoch == 1 or waited_s >= self._turn_s + ARRIVAL_MARGIN_S
+
     def _find_store_ms(self, at_s: float) -> float:
         """Return an upper bound of the store's clock at the moment."""
         store_time = self._rows.store_time
--- a/tests/scheduling/test_roster.py
+++ b/tests/scheduling/test_roster.py
@@ -52,10 +52,13 @@
         return decode_roster(self.payload)
 
 
-def make_roster(rig: BoardRig, store: SlowStore) -> Roster:
-    """Return the roster of the board."""
+def start_roster(nursery: trio.Nursery, rig: BoardRig, store: SlowStore) -> Roster:
+    """Run the roster of the board and let it see the targets."""
     rows = cast('RowsClient', store)
-    return Roster(rows, rig.board, TrioClock(), lambda: None, lambda: store.permitted)
+    roster = Roster(rows, rig.board, TrioClock(), lambda: None, lambda: store.permitted)
+    nursery.start_soon(roster.run)
+    roster.update()
+    return roster
 
 
 def add_new_target(rig: BoardRig, name: str) -> None:
@@ -71,9 +74,7 @@
     rig.add_job(make_job(job_id=OTHER_JOB_ID))
     async with trio.open_nursery() as nursery:
         add_new_target(rig, 'late')
-        roster = make_roster(rig, store)
-        nursery.start_soon(roster.run)
-        roster.update()
+        start_roster(nursery, rig, store)
         await trio.sleep(0.1)
         assert [order.target_id for order in rig.start()] == ['t0']
         assert not rig.plan()
@@ -89,9 +90,7 @@
     store.faults = [StoreUnavailableError('lost'), StoreUnavailableError('lost')]
     add_new_target(rig, 'late')
     async with trio.open_nursery() as nursery:
-        roster = make_roster(rig, store)
-        nursery.start_soon(roster.run)
-        roster.update()
+        start_roster(nursery, rig, store)
         while not rig.board.targets['late'].rostered:
             await trio.sleep(0.01)
             assert trio.current_time() < 6 * (COMMIT_S + RETRY_S)
@@ -104,9 +103,7 @@
     rig, store = BoardRig(targets=0), SlowStore()
     add_new_target(rig, 'late')
     async with trio.open_nursery() as nursery:
-        roster = make_roster(rig, store)
-        nursery.start_soon(roster.run)
-        roster.update()
+        roster = start_roster(nursery, rig, store)
         await trio.sleep(COMMIT_S + SHRINK_INTERVAL_S)
         record = rig.board.targets['late']
         record.silent = True
@@ -130,9 +127,7 @@
     rig, store = BoardRig(targets=0), SlowStore()
     add_new_target(rig, 'late')
     async with trio.open_nursery() as nursery:
-        roster = make_roster(rig, store)
-        nursery.start_soon(roster.run)
-        roster.update()
+        start_roster(nursery, rig, store)
         await trio.sleep(COMMIT_S / 2)
         store.payload, store.version = encode_roster(frozenset(('theirs',))), 7
         store.permitted = False
--- a/tests/scheduling/test_upkeep_rounds.py
+++ b/tests/scheduling/test_upkeep_rounds.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
@@ -106,10 +107,6 @@
         """Store the VMs."""
         return True
 
-    def is_over(self) -> bool:
-        """Tell whether no order of an earlier holder is on its way."""
-        return not self.unsure
-
     def is_open(self, vm: str) -> bool:
         """Tell whether no earlier holder has ordered the VM."""
         return vm not in self.unsure
@@ -118,6 +115,12 @@
         """Tell that the term is held."""
         return True
 
+    def start(self, nursery: trio.Nursery, watch: VmWatch, needed: Callable[[], bool]) -> None:
+        """Run the targets and the reading of the list."""
+        self.nursery = nursery
+        nursery.start_soon(self.serve)
+        nursery.start_soon(watch.run, needed, lambda: None)
+
     async def serve(self) -> None:
         """Start what waits, and have tasks at work after their warm-up."""
         while True:
@@ -149,9 +152,7 @@
     watch = VmWatch(fleet, fleet.rig.board, TrioClock())
     keeper = make_keeper(fleet, watch)
     async with trio.open_nursery() as nursery:
-        fleet.nursery = nursery
-        nursery.start_soon(fleet.serve)
-        nursery.start_soon(watch.run, keeper.is_busy, lambda: None)
+        fleet.start(nursery, watch, keeper.is_busy)
         await trio.sleep(2 * WARM_UP_S)
         due = {name for wave in fleet.waves.values() for name in wave.vms}
         fleet.restarts_s.clear()
@@ -177,9 +178,7 @@
     fleet = cast('Any', Fleet())
     watch = VmWatch(fleet, fleet.rig.board, TrioClock())
     async with trio.open_nursery() as nursery:
-        fleet.nursery = nursery
-        nursery.start_soon(fleet.serve)
-        nursery.start_soon(watch.run, lambda: True, lambda: None)
+        fleet.start(nursery, watch, lambda: True)
         await trio.sleep(2 * WARM_UP_S)
         keeper = make_keeper(fleet, watch)
         for _ in range(VMS):
@@ -216,9 +215,7 @@
     watch = VmWatch(fleet, fleet.rig.board, TrioClock())
     keeper = make_keeper(fleet, watch)
     async with trio.open_nursery() as nursery:
-        fleet.nursery = nursery
-        nursery.start_soon(fleet.serve)
-        nursery.start_soon(watch.run, keeper.is_busy, lambda: None)
+        fleet.start(nursery, watch, keeper.is_busy)
         nursery.start_soon(keeper.run)
         with trio.move_on_after(VMS * UPKEEP_S):
             while sum(fleet.orders.values()) < VMS - len({*ordered, *listed}):
