--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test format lint types layers unit proofs demo bench bench-compare binary clean
+.PHONY: setup test format lint types layers unit proofs demo bench bench-compare regression binary clean
 
 setup: $(STAMP)
 
@@ -42,6 +42,12 @@
 bench-compare: setup
 	$(BIN)/python -m bench.compare $(OLD) build/bench.json
 
+# FLEETBENCH is the users' bench, SITES the folder above their site files.
+regression:
+	@for name in $$(grep -v '^#' deploy/regression.txt); do \
+		$(FLEETBENCH) score $$(find $(SITES) -name "$$name.toml") --why "regression" || exit 1; \
+	done
+
 binary: setup
 	$(BIN)/python -m bench.build_binary
 
