--- a/comfreywind/scheduling/demand_watch.py
+++ b/comfreywind/scheduling/demand_watch.py
@@ -64,12 +64,17 @@
             trend = self._trends.setdefault(pool, DemandTrend())
             trend.add_sample(now_s, (_measure_work(record.job, size) for record in records))
 
-    def forecast_load_vms(self, pool: str, load_vms: float, now_s: float, lead_s: float) -> float:
+    def forecast_load_vms(
+        self, pool: str, load_vms: float, short_load_vms: float, now_s: float, lead_s: float
+    ) -> float:
         """Record the present load and return the load to expect after the lead time.
 
-        Returns 0 when nothing beyond the present load is to be expected.
+        `short_load_vms` is the part of the load that is not of long-running tasks, which are no
+        part of a burst. Returns 0 when nothing beyond the present load is to be expected.
         """
-        burst_vms = self._get_burst_memory(pool).record_load(load_vms, now_s)
+        burst_vms = self._get_burst_memory(pool).record_load(short_load_vms, now_s)
+        if burst_vms:
+            burst_vms += load_vms - short_load_vms
         trend = self._trends.get(pool)
         trend_vms = 0 if trend is None else trend.forecast_vms(lead_s)
         return max(burst_vms, min(trend_vms, self._policy.growth_limit * load_vms))
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -135,7 +135,9 @@
             idle_vms=tuple(vm.name for vm in work.vms if self._is_idle(vm, pool.standby)),
             even_share_vms=even_share_vms,
             vms_for_long_running=work.count_vms_for_long_running(),
-            expected_vms=self._demand.forecast_load_vms(pool.name, load_vms, now_s, self._move_s),
+            expected_vms=self._demand.forecast_load_vms(
+                pool.name, load_vms, work.compute_short_load_vms(), now_s, self._move_s
+            ),
         )
         if pool.standby or compute_surplus_vms(load, self._policy) <= 0:
             self._surplus_since_s.pop(pool.name, None)
