Keep the deployed sizes of pools until the first short job

Cause: nodes start 12 s before the traffic.

Change: while the holder knows of no short job, for at most initial_hold_s (30 s) after it took over, no VM goes to standby. Pools that lack VMs still get them.

--- a/comfreywind/decisions/scheduling/pool_policy.py
+++ b/comfreywind/decisions/scheduling/pool_policy.py
@@ -22,6 +22,9 @@
     While the demand rises significantly, the pool grows to the load that is forecast for the time
     when VMs ordered now take work, at most to `growth_limit` times the present load.
 
+    While a holder knows of no short job, nothing tells how large a pool has to be: for up to
+    `initial_hold_s` after it took over it leaves all VMs where they are.
+
     The defaults of `base_part`, `shrink_after_s` and `surge_memory_s` maximise the worth earned
     less the price of VM time in the scenarios turns-small and turns-grown of `comfreywind lab`.
     """
@@ -34,3 +37,4 @@
     arrival_limit: int = 200
     surge_memory_s: float = 60
     growth_limit: float = 3
+    initial_hold_s: float = 30
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -50,6 +50,8 @@
         self._surplus_since_s: dict[str, float] = {}
         self._demand = DemandWatch(scheduler_state, policy)
         self._move_s = INITIAL_MOVE_S
+        self._started_s: float | None = None
+        self._demand_known = False
 
     def replay_past_load(self, now_s: float, now_ms: float) -> None:
         """Learn from the known jobs which bursts of demand occurred under earlier holders."""
@@ -66,7 +68,9 @@
             self._measure_load(pool, work_by_pool.get(pool.name, PoolWork()), even_share_vms, now_s)
             for pool in known_pools
         ]
-        return choose_moves(loads, self._policy)
+        if self._may_shrink(now_s):
+            return choose_moves(loads, self._policy)
+        return choose_moves([replace(load, surplus_for_s=0) for load in loads], self._policy)
 
     def has_moves(self) -> bool:
         """Return whether a move is in progress."""
@@ -122,6 +126,15 @@
             work_by_pool.setdefault(pool, PoolWork()).arriving += 1
         return work_by_pool
 
+    def _may_shrink(self, now_s: float) -> bool:
+        """Return whether the demand is known well enough for pools to give up VMs."""
+        if not self._demand_known:
+            records = self._state.jobs.values()
+            self._demand_known = any(not record.job.long_running for record in records)
+        if self._started_s is None:
+            self._started_s = now_s
+        return self._demand_known or now_s - self._started_s >= self._policy.initial_hold_s
+
     def _measure_load(
         self, pool: Pool, work: PoolWork, even_share_vms: float, now_s: float
     ) -> PoolLoad:
