Let nodes hand calls over to peers, and tell the holder of accepted jobs

Change: nodes register in a table of their own and read it every 10 s. A node whose last call to the store failed, or whose rules are old, hands callers' requests to up to three peers, which serve them as their own; a peer that declines is not asked again for 1 s, so that an outage of the whole store does not multiply calls. 503 is only answered when nobody can have stored the job. The accepting node also tells the holder of each new job; the feed still tells of all of them.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -24,6 +24,8 @@
 POOL = 'crossings'
 KEY = 'key-of-crews'
 TARGET_CPU = 4000
+# Callers, readiness, metrics and other nodes.
+PORTS_PER_NODE = 4
 WAIT_LIMIT_S = 20.0
 
 
@@ -75,7 +77,7 @@
         self, name: str, metrics_address: Address | None = None
     ) -> AsyncIterator[int]:
         """Run one more node until the block is left; give its number for calls."""
-        ports = [Address(HOST, PORTS.find_free()) for _ in range(3)]
+        ports = [Address(HOST, PORTS.find_free()) for _ in range(PORTS_PER_NODE)]
         ports[2] = metrics_address or ports[2]
         node = Node(make_settings(name, ports, self.store_address), SystemClock())
         scope = trio.CancelScope()
@@ -111,12 +113,15 @@
     node_count: int = 2, target_count: int = 2, timings: JobTimings | None = None
 ) -> AsyncIterator[JobFleet]:
     """Run a fleet until the block is left."""
-    address_count = 1 + target_count + 3 * node_count
+    address_count = 1 + target_count + PORTS_PER_NODE * node_count
     addresses = [Address(HOST, PORTS.find_free()) for _ in range(address_count)]
     store, shutdown, log = StoreApp(), trio.Event(), StartLog()
     target_addresses = addresses[1 : 1 + target_count]
     node_addresses = addresses[1 + target_count :]
-    ports_by_node = [node_addresses[start : start + 3] for start in range(0, 3 * node_count, 3)]
+    ports_by_node = [
+        node_addresses[start : start + PORTS_PER_NODE]
+        for start in range(0, PORTS_PER_NODE * node_count, PORTS_PER_NODE)
+    ]
     async with trio.open_nursery() as nursery:
         targets = [JobTargetApp(log) for _ in target_addresses]
         fleet = JobFleet(
@@ -183,13 +188,14 @@
 def make_settings(
     name: str, ports: list[Address], store: Address, timings: JobTimings | None = None
 ) -> NodeSettings:
-    """Return settings of a node on loopback; `ports` serve callers, readiness and metrics."""
+    """Return settings of a node on loopback; `ports` serve callers, readiness, metrics and peers."""
     return NodeSettings(
         name=name,
         data_centre='dc',
         caller_address=ports[0],
         ready_address=ports[1],
         metrics_address=ports[2],
+        peer_address=ports[3],
         store_address=store,
         vm_service_address=None,
         advice_address=None,
--- a/comfreywind/http/client.py
+++ b/comfreywind/http/client.py
@@ -74,14 +74,16 @@
         document: object | None = None,
         headers: HeaderItems | None = None,
         permit: Permit | None = None,
+        raw_body: bytes = b'',
     ) -> HttpReply:
         """Return the reply; raise trio.TooSlowError or an httpcore error when there is none.
 
         A call may wait for a connection while its permission runs out, and the process may be
         paused meanwhile. So `permit` is asked once the connection is there, just before the call is
-        sent; CallNotPermittedError is raised when it is False.
+        sent; CallNotPermittedError is raised when it is False. The body is `document` as JSON, or
+        `raw_body` as it is.
         """
-        body = b'' if document is None else json.dumps(document).encode()
+        body = raw_body if document is None else json.dumps(document).encode()
         all_headers = [*(headers or []), *COMMON_HEADERS]
         url = self._make_url(path)
 
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -16,7 +16,9 @@
 from comfreywind.http.asgi_reply import send_json
 from comfreywind.http.asgi_types import Receive, Scope, Send
 from comfreywind.http.client import Permit
+from comfreywind.intake.caller_call import CallerCall
 from comfreywind.intake.job_store import JobStore
+from comfreywind.intake.peer_relay import PeerRelay
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.queue import Queue
@@ -31,6 +33,7 @@
 RETRY_AFTER_S = 1
 BEARER = 'bearer '
 MS_PER_S = 1000
+STATUS_UNREADABLE = 500
 METHODS = frozenset(('GET', 'POST', 'DELETE'))
 DEFAULT_DEADLINE_S = 3.0
 # Subtracted from the caller's deadline, so that the reply reaches the caller in time.
@@ -62,9 +65,14 @@
         keeper: TermKeeper,
         clock: Clock,
         metrics: Metrics,
+        relay: PeerRelay | None = None,
     ) -> None:
-        """Use the rules, the store of jobs and the keeper of the term that the node shares."""
+        """Use the rules, the store of jobs and the keeper of the term that the node shares.
+
+        Without a relay, calls that need the store are refused while it is out of reach.
+        """
         self._metrics = metrics
+        self._relay = relay
         self._rules = rules
         self._store = store
         self._keeper = keeper
@@ -82,7 +90,8 @@
             await send_json(send, 413, {'error': str(error)})
             return
         started_s = self._clock.read_monotonic_s()
-        reply = await self._serve(scope['method'], scope['path'], headers, body)
+        call = CallerCall(scope['method'], scope['path'], headers, body)
+        reply = await self._serve(call)
         self._record_call(scope['method'], reply.status, started_s)
         # A caller that keeps its connection open would go on calling the node that shuts down.
         extra = [(b'connection', b'close')] if self.closing else []
@@ -98,20 +107,39 @@
         self._metrics.record_duration(f'calls.{name}', duration_s)
         self._metrics.count(f'calls.{name}.{status}')
 
-    async def _serve(
-        self, method: str, path: str, headers: dict[bytes, bytes], body: bytes
-    ) -> Reply:
-        with trio.move_on_after(_read_deadline_s(headers)):
-            try:
-                return await self._route(method, path, headers, body)
-            except Reply as reply:
-                return reply
-            except (RowFormatError, StoreUnavailableError) as error:
-                error_reply = _make_error_reply(error)
-                log.info('%s %s: replied %d: %s', method, path, error_reply.status, error)
-                return error_reply
-        log.info('%s %s: replied 504: not finished at the deadline of the caller', method, path)
-        return Reply(504, {'error': 'the outcome is not known'})
+    async def _serve(self, call: CallerCall) -> Reply:
+        with trio.move_on_after(_read_deadline_s(call.headers)):
+            if self._relay is None or self._is_store_reachable():
+                return await self._serve_here(call)
+            return await self._hand_over(call, Reply(503, {'error': 'the store is out of reach'}))
+        log.info(
+            '%s %s: replied 504: not finished at the deadline of the caller', call.method, call.path
+        )
+        return _UNKNOWN_OUTCOME
+
+    async def _serve_here(self, call: CallerCall) -> Reply:
+        try:
+            return await self._route(call.method, call.path, call.headers, call.body)
+        except Reply as reply:
+            return reply
+        except (RowFormatError, StoreUnavailableError) as error:
+            error_reply = _make_error_reply(error)
+            log.info('%s %s: status %d: %s', call.method, call.path, error_reply.status, error)
+        if error_reply.status == STATUS_UNREADABLE:
+            return error_reply
+        return await self._hand_over(call, error_reply)
+
+    async def _hand_over(self, call: CallerCall, own_reply: Reply) -> Reply:
+        """Return the reply of a node that serves the call, or the own one if there is none."""
+        if self._relay is None:
+            return own_reply
+        outcome = await self._relay.forward(call)
+        if outcome.reply is not None:
+            return Reply(outcome.reply.status, outcome.reply.read_json())
+        return _UNKNOWN_OUTCOME if outcome.may_have_effect else own_reply
+
+    def _is_store_reachable(self) -> bool:
+        return self._store.reachable and self._rules.is_fresh()
 
     async def _route(
         self, method: str, path: str, headers: dict[bytes, bytes], body: bytes
@@ -192,6 +220,9 @@
         return Reply(200, {'state': STATE_NAMES[state]})
 
 
+_UNKNOWN_OUTCOME = Reply(504, {'error': 'the outcome is not known'})
+
+
 @singledispatch
 def _make_error_reply(error: Exception) -> Reply:
     raise TypeError(f'no reply is defined for the error {error!r}')
@@ -199,7 +230,7 @@
 
 @_make_error_reply.register
 def _reply_unknown_outcome(error: StoreUnavailableError) -> Reply:
-    return Reply(504, {'error': 'the outcome is not known'})
+    return _UNKNOWN_OUTCOME
 
 
 @_make_error_reply.register
@@ -209,7 +240,7 @@
 
 @_make_error_reply.register
 def _reply_unreadable(error: RowFormatError) -> Reply:
-    return Reply(500, {'error': "the stored state of the job can't be read"})
+    return Reply(STATUS_UNREADABLE, {'error': "the stored state of the job can't be read"})
 
 
 def _read_deadline_s(headers: dict[bytes, bytes]) -> float:
--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from collections.abc import Callable
 from functools import partial
 
 from comfreywind.clock import Clock
@@ -49,6 +50,10 @@
 log = logging.getLogger('comfreywind.intake')
 
 
+def _ignore_accepted(row: StoredRow) -> None:
+    """Leave the holder to learn of the job from the store."""
+
+
 class JobStore:
     """Accepts, reads and cancels jobs with conditional writes.
 
@@ -56,14 +61,20 @@
     """
 
     def __init__(
-        self, rows: RowsClient, row_limit_bytes: int, retention_s: float, clock: Clock
+        self,
+        rows: RowsClient,
+        row_limit_bytes: int,
+        retention_s: float,
+        clock: Clock,
+        notify_accepted: Callable[[StoredRow], None] = _ignore_accepted,
     ) -> None:
         """Use the client of the table service, which keeps jobs for `retention_s` after their end.
 
         Two caches save readings: the owners of jobs that have not ended, and the owners and states
         of ended jobs. Neither changes until the job is removed. The state of a job that has not
-        ended may change, so it is never cached.
+        ended may change, so it is never cached. `notify_accepted` gets the row of each new job.
         """
+        self._notify_accepted = notify_accepted
         self._rows = rows
         self.row_limit_bytes = row_limit_bytes
         self._clock = clock
@@ -72,6 +83,11 @@
         self._owners: TtlCache[JobOwner] = TtlCache(CACHE_ENTRY_LIMIT, ttl_s, clock)
         self._ended: TtlCache[EndedJob] = TtlCache(CACHE_ENTRY_LIMIT, ttl_s, clock)
 
+    @property
+    def reachable(self) -> bool:
+        """Return whether the store answered the last call of this node."""
+        return self._rows.reachable
+
     async def accept(self, job: Job, permit: Permit) -> bool:
         """Store a job; return False when its owner has already stored a job of that id.
 
@@ -137,14 +153,18 @@
         )
 
     async def _insert(self, change: RowChange, job: Job, permit: Permit) -> bool:
+        partition = compute_intake_partition(change.key)
         try:
-            await self._rows.commit(compute_intake_partition(change.key), [change], permit)
+            version = await self._rows.commit(partition, [change], permit)
         except RowsChangedError as error:
             for row in error.rows:
                 self._check_owner(row, job)
             return False
         self._ended.drop(job.job_id)
         self._owners.put(job.job_id, get_owner(job))
+        self._notify_accepted(
+            StoredRow(TABLE_INTAKE, partition, change.key, change.payload, version)
+        )
         return True
 
     def _check_owner(self, row: StoredRow, job: Job) -> None:
--- /dev/null
+++ b/comfreywind/intake/peer_relay.py
@@ -0,0 +1,80 @@
+"""Hands callers' requests over to nodes that reach the store."""
+
+import logging
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from comfreywind.clock import Clock
+from comfreywind.decisions.peer_choice import choose_peers
+from comfreywind.http.client import HttpClient, HttpReply
+from comfreywind.intake.caller_call import CallerCall
+from comfreywind.metrics import Metrics
+from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.wire import HEADER_DEADLINE
+from comfreywind.settings.address import Address
+
+# Leaves time to ask another node within the usual deadline of a caller.
+RELAY_TIMEOUT_S = 0.8
+# With these replies a node guarantees that the call had no effect.
+STATUSES_WITHOUT_EFFECT = frozenset((429, 503))
+FORWARDED_HEADERS = (b'host', b'authorization', HEADER_DEADLINE)
+
+log = logging.getLogger('comfreywind.relay')
+
+
+@dataclass(frozen=True, slots=True)
+class RelayOutcome:
+    """The reply of the node that served the call, or None when none did.
+
+    `may_have_effect` is set when a node was asked and its reply is missing.
+    """
+
+    reply: HttpReply | None
+    may_have_effect: bool
+
+
+class PeerRelay:
+    """Owns the connections to other nodes, and remembers which of them took no call lately.
+
+    A job that is submitted twice is stored once, so a call without a reply is handed to the next
+    node as it is.
+    """
+
+    def __init__(
+        self, list_peers: Callable[[], Mapping[str, Address]], clock: Clock, metrics: Metrics
+    ) -> None:
+        """Use the addresses of the other nodes by name, as `list_peers` returns them."""
+        self._list_peers = list_peers
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random.Random()
+        self._clients: dict[Address, HttpClient] = {}
+        self._declined_s: dict[str, float] = {}
+
+    async def forward(self, call: CallerCall) -> RelayOutcome:
+        """Ask other nodes one after the other until one of them serves the call."""
+        peers = self._list_peers()
+        may_have_effect = False
+        now_s = self._clock.read_monotonic_s()
+        for name in choose_peers(peers, self._declined_s, now_s, self._random):
+            try:
+                reply = await self._ask(peers[name], call)
+            except CALL_FAILURES as error:
+                log.info('node %s gave no reply to a relayed call: %r', name, error)
+                may_have_effect = True
+            else:
+                if reply.status not in STATUSES_WITHOUT_EFFECT:
+                    self._metrics.count(f'relayed.{reply.status}')
+                    return RelayOutcome(reply, may_have_effect)
+            self._declined_s[name] = self._clock.read_monotonic_s()
+        self._metrics.count('relayed.none')
+        return RelayOutcome(None, may_have_effect)
+
+    async def _ask(self, address: Address, call: CallerCall) -> HttpReply:
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients.setdefault(address, HttpClient(address, RELAY_TIMEOUT_S))
+        headers = [(name, call.headers[name]) for name in FORWARDED_HEADERS if name in call.headers]
+        return await client.call(call.method, quote(call.path), headers=headers, raw_body=call.body)
--- a/comfreywind/jobs/tables.py
+++ b/comfreywind/jobs/tables.py
@@ -7,6 +7,8 @@
 TABLE_INTAKE = 'comfreywind-intake'
 TABLE_PROGRESS = 'comfreywind-progress'
 TABLE_TERM = 'comfreywind-term'
+TABLE_NODES = 'comfreywind-nodes'
+NODES_PARTITION = 'nodes'
 
 # A partition of its own, so that a renewal of the term never waits for another write.
 TERM_PARTITION = 'term'
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -10,14 +10,20 @@
 from comfreywind.exposed_metrics import ExposedMetrics
 from comfreywind.http.server import serve_app
 from comfreywind.intake.job_app import JobApp
+from comfreywind.intake.job_notifier import JobNotifier
 from comfreywind.intake.job_store import JobStore
+from comfreywind.intake.peer_relay import PeerRelay
 from comfreywind.log_handler import BoundedHandler
 from comfreywind.logs import configure_logs
+from comfreywind.node.peer_app import PeerApp
+from comfreywind.node.peer_directory import PeerDirectory
 from comfreywind.node.ready_app import ReadyApp
 from comfreywind.platform.rows_client import RowsClient
+from comfreywind.platform.stored_row import StoredRow
 from comfreywind.scheduling.holder import Holder
 from comfreywind.scheduling.rules_follower import RulesFollower
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
+from comfreywind.settings.address import Address
 from comfreywind.settings.node import NodeSettings
 from comfreywind.signals import set_on_termination
 from comfreywind.supervision import supervise
@@ -46,13 +52,23 @@
         self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock, self._metrics)
         self._rules = RulesFollower(self._rows, clock)
         self._keeper = TermKeeper(self._rows, settings.name, clock, settings.cores)
+        self._holder: Holder | None = None
+        self._notifier = JobNotifier(self._find_holder)
         store = JobStore(
             self._rows,
             settings.store_limits.row_bytes,
             settings.timings.status_retention_s,
             clock,
+            self._announce_job,
         )
-        self._job_app = JobApp(self._rules, store, self._keeper, clock, self._metrics)
+        self._directory: PeerDirectory | None = None
+        relay: PeerRelay | None = None
+        if settings.peer_address is not None:
+            self._directory = PeerDirectory(self._rows, settings.name, settings.peer_address, clock)
+            relay = PeerRelay(self._directory.list_peers, clock, self._metrics)
+        self._job_app = JobApp(self._rules, store, self._keeper, clock, self._metrics, relay)
+        # Calls that another node has handed over are not handed over again.
+        self._relayed_app = JobApp(self._rules, store, self._keeper, clock, self._metrics)
         self._stopping = False
 
     async def run(self) -> None:
@@ -71,8 +87,11 @@
                 ('rules', self._rules.run),
                 ('term', self._keeper.run),
                 ('holder', self._hold_terms),
+                ('notices', self._notifier.run),
             ):
                 nursery.start_soon(supervise, name, work, self._metrics)
+            if self._directory is not None:
+                nursery.start_soon(supervise, 'peers', self._directory.run, self._metrics)
             await self._serve(termination)
             nursery.cancel_scope.cancel()
 
@@ -83,6 +102,22 @@
         """
         return not self._stopping and self._rules.is_fresh()
 
+    def _find_holder(self) -> Address | None:
+        """Return the address of the node that holds the term, or None if it is not known."""
+        if self._directory is None:
+            return None
+        return self._directory.list_peers().get(self._keeper.lease_row.holder)
+
+    def _announce_job(self, row: StoredRow) -> None:
+        if self._holder is None:
+            self._notifier.notify(row)
+        else:
+            self._holder.apply_accepted_row(row)
+
+    def _apply_notice(self, row: StoredRow) -> None:
+        if self._holder is not None:
+            self._holder.apply_accepted_row(row)
+
     async def _serve(self, termination: trio.Event) -> None:
         shutdown = trio.Event()
         async with trio.open_nursery() as servers:
@@ -92,6 +127,7 @@
                 serve_app, self._job_app, settings.caller_address, shutdown, SHUTDOWN_GRACE_S
             )
             servers.start_soon(serve_app, ready_app, settings.ready_address, shutdown, 0)
+            servers.start_soon(self._serve_peers, shutdown)
             servers.start_soon(self._serve_metrics, shutdown)
             await termination.wait()
             log.info(
@@ -99,6 +135,7 @@
             )
             self._stopping = True
             self._job_app.closing = True
+            self._relayed_app.closing = True
             # Released concurrently: a slow store must not use up the time that the platform grants
             # a node to stop.
             servers.start_soon(self._keeper.release)
@@ -106,6 +143,16 @@
             shutdown.set()
         log.info('node has stopped serving')
 
+    async def _serve_peers(self, shutdown: trio.Event) -> None:
+        address = self._settings.peer_address
+        if address is None:
+            return
+        app = PeerApp(self._relayed_app, self._apply_notice)
+        try:
+            await serve_app(app, address, shutdown, SHUTDOWN_GRACE_S)
+        except ListenError as error:
+            log.warning('calls of other nodes are not served: %s', error)
+
     async def _serve_metrics(self, shutdown: trio.Event) -> None:
         address = self._settings.metrics_address
         if address is None:
@@ -143,6 +190,13 @@
 
     async def _hold_term(self, term: HeldTerm, holder: Holder) -> None:
         """Run the holder until this node no longer holds the term."""
+        self._holder = holder
+        try:
+            await self._run_holder(term, holder)
+        finally:
+            self._holder = None
+
+    async def _run_holder(self, term: HeldTerm, holder: Holder) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(holder.run)
             while self._keeper.held is term:
--- a/comfreywind/platform/node_file.py
+++ b/comfreywind/platform/node_file.py
@@ -64,6 +64,8 @@
 class _NodeFile(_Section):
     node_name: str
     zone: str
+    ip: str = ''
+    internal_ports: list[int] = Field(default_factory=list)
     listen_addrs: _Listen
     platform: _Store
     cloud_api: _Cloud | None = None
@@ -98,6 +100,7 @@
         vm_orders_per_s=cloud.duty_per_s if cloud else 0,
         memory_mb=node_file.limits.memory_mb,
         cores=node_file.limits.cpu_quota * node_file.limits.cores,
+        peer_address=_choose_peer_address(node_file),
     )
 
 
@@ -108,6 +111,12 @@
     return Address(host, int(port))
 
 
+def _choose_peer_address(node_file: _NodeFile) -> Address | None:
+    if not node_file.ip or not node_file.internal_ports:
+        return None
+    return Address(node_file.ip, node_file.internal_ports[0])
+
+
 def _decode_timings(bounds: _Bounds) -> JobTimings:
     return JobTimings(
         lease_limit_s=bounds.hold_max_ms / MS_PER_S,
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -58,12 +58,22 @@
         self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
         self._clock = clock
         self._store_time: StoreTime | None = None
+        self._reachable = True
 
     @property
     def store_time(self) -> StoreTime | None:
         """Return the last reading of the store's clock, or None before the first."""
         return self._store_time
 
+    @property
+    def reachable(self) -> bool:
+        """Return whether the store answered the last call to it, and did not refuse it.
+
+        Reads of feeds don't count: they break when the store drops its history, while it serves all
+        other calls.
+        """
+        return self._reachable
+
     async def commit(
         self, partition: str, changes: Sequence[RowChange], permit: Permit | None = None
     ) -> int:
@@ -143,7 +153,7 @@
         """Return the status (200 or 412) and the document of the reply, and record metrics."""
         sent_s = self._clock.read_monotonic_s()
         try:
-            reply = await _call(self._client, method, path, request, permit)
+            reply = await self._exchange(method, path, request, permit)
         except StoreUnavailableError:
             self._metrics.count('store_calls.unanswered')
             raise
@@ -155,6 +165,20 @@
             self._update_store_time(document, sent_s)
         return reply.status, document
 
+    async def _exchange(
+        self, method: str, path: str, request: object | None, permit: Permit | None
+    ) -> HttpReply:
+        try:
+            reply = await _call(self._client, method, path, request, permit)
+        except StoreRefusedError:
+            # The permission ended; the call was not sent.
+            raise
+        except StoreUnavailableError:
+            self._reachable = False
+            raise
+        self._reachable = reply.status not in STATUSES_REFUSED
+        return reply
+
     def _update_store_time(self, document: dict[str, Any], sent_s: float) -> None:
         with _wrap_decoding_errors():
             store_ms = float(document['now_ms'])
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -98,6 +98,7 @@
         self._wake = trio.Event()
         self._stored_progress: dict[str, tuple[Progress, int]] = {}
         self._progress_loaded = trio.Event()
+        self._intake_loaded = trio.Event()
         self._unreadable_progress_ids: set[str] = set()
         self._registry = TargetRegistry(
             rows, self.scheduler_state, clock, self._wake_planner, self._may_order
@@ -136,6 +137,7 @@
             deliver_after=intake.loaded,
             metrics=self._metrics,
         )
+        self._intake_loaded = intake.loaded
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             # All tables are read at the same time, because a slow store takes up to a second for
@@ -169,6 +171,15 @@
         self._wake.set()
         self._send(orders)
 
+    def apply_accepted_row(self, row: StoredRow) -> None:
+        """Add an accepted job that another node has told of before the feed of the store has.
+
+        Until all stored jobs are known, the notice is ignored: the job may have been read already
+        and not be delivered yet.
+        """
+        if self._intake_loaded.is_set() and row.key not in self.scheduler_state.jobs:
+            self._handle_intake_row(row)
+
     def _may_order(self) -> bool:
         """Return whether this holder may send orders at this moment."""
         return self._keeper.held is self._term and self._keeper.is_valid()
--- a/comfreywind/scheduling/row_feed.py
+++ b/comfreywind/scheduling/row_feed.py
@@ -12,7 +12,7 @@
 from comfreywind.platform.stored_row import StoredRow
 from comfreywind.supervision import note_unexpected
 
-RETRY_S = 0.2
+RETRY_S = 0.05
 
 log = logging.getLogger('comfreywind.feed')
 
--- a/comfreywind/settings/node.py
+++ b/comfreywind/settings/node.py
@@ -49,7 +49,8 @@
 
     `cores` is the processor time of the node in cores of usual speed, `memory_mb` its memory and
     `vm_orders_per_s` the rate of orders to the VM service. The VM and advice services are
-    used, and metrics are served, only if their addresses are set.
+    used, metrics are served and calls relayed, only if their addresses are set: at `peer_address`
+    other nodes hand over calls of callers.
     """
 
     name: str
@@ -65,3 +66,4 @@
     memory_mb: int = 300
     cores: float = 1
     metrics_address: Address | None = None
+    peer_address: Address | None = None
--- a/comfreywind/stand_ins/jobs/store_app.py
+++ b/comfreywind/stand_ins/jobs/store_app.py
@@ -13,6 +13,7 @@
 from comfreywind.stand_ins.jobs.row_store import RowStore
 from comfreywind.stand_ins.jobs.store_faults import PART_BACKLOG_S, StoreFaults
 
+QUIET_POLL_S = 0.02
 BODY_LIMIT_BYTES = 1_048_576
 MS_PER_S = 1000
 Query = dict[str, list[str]]
@@ -98,9 +99,12 @@
             await self._reply(send, 410, {})
             return
         with trio.move_on_after(int(query['wait_ms'][0]) / MS_PER_S):
+            while self.faults.quiet_feeds:
+                await trio.sleep(QUIET_POLL_S)
             while not self.store.list_changes(table, after):
                 await self.store.wait_for_change()
-        await self._reply(send, 200, {'rows': self.store.list_changes(table, after)})
+        changes = [] if self.faults.quiet_feeds else self.store.list_changes(table, after)
+        await self._reply(send, 200, {'rows': changes})
 
     async def _reply(self, send: Send, status: int, document: dict[str, Any]) -> None:
         clock = {'schema_ver': self.store.version, 'now_ms': trio.current_time() * MS_PER_S}
