Count the surplus of a pool from when its demand is known

Change: pools give up VMs first_demand_s (4 s) after the first short job, and the surplus counts from then.

--- a/comfreywind/decisions/scheduling/pool_policy.py
+++ b/comfreywind/decisions/scheduling/pool_policy.py
@@ -22,8 +22,9 @@
     While the demand rises significantly, the pool grows to the load that is forecast for the time
     when VMs ordered now take work, at most to `growth_limit` times the present load.
 
-    While a holder knows of no short job, nothing tells how large a pool has to be: for up to
-    `initial_hold_s` after it took over it leaves all VMs where they are.
+    While a holder knows of no short job, and for `first_demand_s` after it has seen the first one,
+    nothing tells how large a pool has to be: pools give up no VMs, for at most `initial_hold_s`
+    after the takeover.
 
     The defaults of `base_part`, `shrink_after_s` and `surge_memory_s` maximise the worth earned
     less the price of VM time in the scenarios turns-small and turns-grown of `comfreywind lab`.
@@ -38,3 +39,4 @@
     surge_memory_s: float = 60
     growth_limit: float = 3
     initial_hold_s: float = 30
+    first_demand_s: float = 4
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -51,7 +51,8 @@
         self._demand = DemandWatch(scheduler_state, policy)
         self._move_s = INITIAL_MOVE_S
         self._started_s: float | None = None
-        self._demand_known = False
+        self._first_demand_s: float | None = None
+        self._may_shrink = False
 
     def replay_past_load(self, now_s: float, now_ms: float) -> None:
         """Learn from the known jobs which bursts of demand occurred under earlier holders."""
@@ -63,14 +64,13 @@
         work_by_pool = self._group_by_pool(vms)
         self._demand.record_new_jobs(work_by_pool, now_s)
         known_pools = tuple(pools)
+        self._may_shrink = self._may_shrink or self._knows_demand(now_s)
         even_share_vms = len(vms) / len(known_pools) if known_pools else 0
         loads = [
             self._measure_load(pool, work_by_pool.get(pool.name, PoolWork()), even_share_vms, now_s)
             for pool in known_pools
         ]
-        if self._may_shrink(now_s):
-            return choose_moves(loads, self._policy)
-        return choose_moves([replace(load, surplus_for_s=0) for load in loads], self._policy)
+        return choose_moves(loads, self._policy)
 
     def has_moves(self) -> bool:
         """Return whether a move is in progress."""
@@ -126,14 +126,20 @@
             work_by_pool.setdefault(pool, PoolWork()).arriving += 1
         return work_by_pool
 
-    def _may_shrink(self, now_s: float) -> bool:
+    def _knows_demand(self, now_s: float) -> bool:
         """Return whether the demand is known well enough for pools to give up VMs."""
-        if not self._demand_known:
-            records = self._state.jobs.values()
-            self._demand_known = any(not record.job.long_running for record in records)
         if self._started_s is None:
             self._started_s = now_s
-        return self._demand_known or now_s - self._started_s >= self._policy.initial_hold_s
+        if self._first_demand_s is None and self._has_short_jobs():
+            self._first_demand_s = now_s
+        if now_s - self._started_s >= self._policy.initial_hold_s:
+            return True
+        if self._first_demand_s is None:
+            return False
+        return now_s - self._first_demand_s >= self._policy.first_demand_s
+
+    def _has_short_jobs(self) -> bool:
+        return any(not record.job.long_running for record in self._state.jobs.values())
 
     def _measure_load(
         self, pool: Pool, work: PoolWork, even_share_vms: float, now_s: float
@@ -152,7 +158,8 @@
                 pool.name, load_vms, work.compute_short_load_vms(), now_s, self._move_s
             ),
         )
-        if pool.standby or compute_surplus_vms(load, self._policy) <= 0:
+        lacks_surplus = compute_surplus_vms(load, self._policy) <= 0
+        if pool.standby or lacks_surplus or not self._may_shrink:
             self._surplus_since_s.pop(pool.name, None)
             return load
         since_s = self._surplus_since_s.setdefault(pool.name, now_s)
--- a/tests/scheduling/test_first_demand.py
+++ b/tests/scheduling/test_first_demand.py
@@ -16,7 +16,13 @@
 POOLS = (Pool(POOL), Pool('standby', standby=True))
 SIZE = Resources(4000, 10_000)
 POLICY = PoolPolicy(
-    base_part=0, spare_vms=0, smallest_pool=1, shrink_after_s=1, target_fill=1, initial_hold_s=20
+    base_part=0,
+    spare_vms=0,
+    smallest_pool=1,
+    shrink_after_s=1,
+    target_fill=1,
+    initial_hold_s=20,
+    first_demand_s=4,
 )
 INTERVAL_S = 0.2
 SHORT_JOB = make_job(job_id='00000000000000b1')
@@ -48,6 +54,7 @@
     [
         pytest.param([], 10, False, id='no job yet'),
         pytest.param([LONG_RUNNING_JOB], 10, False, id='long-running tasks only'),
+        pytest.param([SHORT_JOB], 4, False, id='first jobs'),
         pytest.param([SHORT_JOB], 10, True, id='demand is known'),
         pytest.param([], 30, True, id='no demand for long'),
     ],
@@ -56,7 +63,9 @@
     """A fleet keeps its sizes until the first jobs, which may come as a burst.
 
     Pattern: the first queue is at its peak when the traffic starts, 12 s after the nodes. Pools had
-    given up all but two VMs by then, and half of the jobs of the first two seconds were late.
+    given up all but two VMs by then, and half of the jobs of the first two seconds were late. With
+    179 VMs, 95 went to standby at the first job when the surplus before it counted, and the queues
+    whose demand began with that job lacked them for 3 s.
     """
     harness = SchedulerHarness(targets=8)
     for job in jobs:
@@ -86,7 +95,7 @@
     harness.add_job(LONG_RUNNING_JOB)
     harness.start()
     sizer = PoolSizer(harness.scheduler_state, POLICY)
-    choose_for(sizer, harness, 10)
+    choose_for(sizer, harness, 25)
     burst = harness.add_job(make_job(Step(28, Resources(1000, 100)), job_id='00000000000000b1'))
     harness.start()
     choose_for(sizer, harness, 1)
