Pack long-running tasks up to what their step may miss

Ruled out: that spreading helps a wave. A VM may go down with as many tasks as the step may miss, so a step needs the same number of rounds with two tasks on each of 12 VMs as with one on each of 24.

Change: the count of a step's tasks on a VM counts against it only from the limit on. The property test covers limits up to 3 (1 before) by the new rule.

--- a/comfreywind/decisions/scheduling/capacity_index.py
+++ b/comfreywind/decisions/scheduling/capacity_index.py
@@ -55,7 +55,7 @@
 
         Long-running tasks avoid VMs that are due for maintenance, where they would soon end again.
         Tasks of a step that limits its unavailable tasks are spread, so that a VM can go down with
-        one of them.
+        all those on it. Up to the limit they are packed, so that other VMs stay empty.
         Best-effort tasks avoid targets that serve users, whose tail latency they would raise.
         The rack of the step's data comes first, then the target with the least free processor time:
         tasks are packed, so that large tasks and moves of VMs find whole targets free.
@@ -103,7 +103,8 @@
 
 def _compute_rank(step: Step, avoided: bool, count: int, target: TargetCapacity) -> Rank:
     remote = bool(step.preferred_rack) and step.preferred_rack not in target.labels
-    spread_count = count if step.unavailable_limit else 0
+    # A VM can go down with as many tasks of the step as may be unavailable.
+    spread_count = max(0, count + 1 - step.unavailable_limit) if step.unavailable_limit else 0
     return (
         avoided,
         step.long_running and target.maintenance_due,
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -246,6 +246,19 @@
     assert len({order.target_id for order in harness.start()}) == 3
 
 
+@pytest.mark.parametrize(('limit', 'targets'), [(1, 4), (2, 2), (3, 2), (4, 1)])
+def test_step_is_packed_up_to_its_budget(limit: int, targets: int) -> None:
+    """As many tasks of a step share a VM as may be unavailable, so that other VMs stay empty.
+
+    Pattern: steps of 24 tasks that last, of which two may be missing, on a pool of 40 VMs. One task
+    on each VM kept 20 VMs of each pool from ever going to standby.
+    """
+    harness = SchedulerHarness(targets=4)
+    step = Step(4, Resources(1000, 100), long_running=True, unavailable_limit=limit)
+    harness.add_job(make_job(step))
+    assert len({order.target_id for order in harness.start()}) == targets
+
+
 def test_order_under_way_counts_as_away() -> None:
     """Two VMs must not be ordered down at once when both have a task of a step that may miss one.
 
--- a/tests/scheduling/test_capacity_index.py
+++ b/tests/scheduling/test_capacity_index.py
@@ -41,7 +41,7 @@
     target_limit=st.integers(0, 2),
     long_running=st.booleans(),
     best_effort=st.booleans(),
-    unavailable_limit=st.integers(0, 1),
+    unavailable_limit=st.integers(0, 3),
 )
 NAMES = st.frozensets(st.sampled_from([f't{number}' for number in range(12)]))
 COUNTS = st.dictionaries(st.sampled_from([f't{number}' for number in range(12)]), st.integers(1, 3))
@@ -72,7 +72,7 @@
             yield (
                 target.target_id in avoided,
                 step.long_running and target.maintenance_due,
-                count if step.unavailable_limit else 0,
+                max(0, count + 1 - step.unavailable_limit) if step.unavailable_limit else 0,
                 step.best_effort and target.serving,
                 bool(step.preferred_rack) and step.preferred_rack not in target.labels,
                 target.free.cpu_millicores,
