--- a/comfreywind/decisions/scheduling/pool_policy.py
+++ b/comfreywind/decisions/scheduling/pool_policy.py
@@ -16,9 +16,6 @@
     the VMs that move into a pool at the same time; a limit of 6 delayed the first starts of a burst
     by up to 10 s on deployments of 180 VMs.
 
-    A rise of the load after a quiet period counts as a recurring burst: within `surge_memory_s` of
-    the start of an earlier burst, the pool grows to the peak of that one at once.
-
     While the demand rises significantly, the pool grows to the load that is forecast for the time
     when VMs ordered now take work, at most to `growth_limit` times the present load.
 
@@ -26,7 +23,7 @@
     nothing tells how large a pool has to be: pools give up no VMs, for at most `initial_hold_s`
     after the takeover.
 
-    The defaults of `base_part`, `shrink_after_s` and `surge_memory_s` maximise the worth earned
+    The defaults of `base_part` and `shrink_after_s` maximise the worth earned
     less the price of VM time in the scenarios turns-small and turns-grown of `comfreywind lab`.
     """
 
@@ -36,7 +33,6 @@
     base_part: float = 0.2
     shrink_after_s: float = 1.5
     arrival_limit: int = 200
-    surge_memory_s: float = 60
     growth_limit: float = 3
     initial_hold_s: float = 30
     first_demand_s: float = 4
--- a/comfreywind/decisions/scheduling/pool_size.py
+++ b/comfreywind/decisions/scheduling/pool_size.py
@@ -16,7 +16,7 @@
     `load_vms` is the work that runs or waits, in VMs. `usable` counts the VMs that take new work,
     and `arriving` those on their way. `idle_vms` names the VMs without any run. `surplus_for_s` is
     for how long the pool has had more VMs than it wants. `expected_vms` is the load to expect from
-    a burst in progress or a rising demand. `even_share_vms` is what the pool would have if all VMs
+    a rising demand. `even_share_vms` is what the pool would have if all VMs
     were divided evenly, and `vms_for_long_running` how many empty VMs its waiting long-running
     tasks need.
     """
--- a/comfreywind/scheduling/pool_keeper.py
+++ b/comfreywind/scheduling/pool_keeper.py
@@ -14,7 +14,6 @@
 from comfreywind.scheduling.vm_watch import VmWatch
 
 INTERVAL_S = 0.2
-MS_PER_S = 1000
 # No move is ordered by a list of VMs that is older.
 LIST_AGE_LIMIT_S = 2.5
 
@@ -47,7 +46,6 @@
         self._sizer = sizer
         self._clock = clock
         self._needs_list = True
-        self._past_load_replayed = False
 
     async def run(self) -> None:
         """Compare the load and the size of the pools every INTERVAL_S until cancelled."""
@@ -57,8 +55,6 @@
             if rules is None:
                 continue
             now_s = self._clock.read_monotonic_s()
-            if not self._past_load_replayed:
-                self._replay_past_load(now_s)
             moves = self._sizer.choose(rules.pools.values(), self._watch.vms, now_s)
             self._needs_list = bool(moves) or self._sizer.has_moves()
             fresh = self._watch.get_list_age_s(now_s) < LIST_AGE_LIMIT_S
@@ -69,11 +65,6 @@
         """Return whether a fresh list of VMs is needed, because moves are wanted or in progress."""
         return self._needs_list
 
-    def _replay_past_load(self, now_s: float) -> None:
-        self._past_load_replayed = True
-        now_ms = self._clock.read_utc().timestamp() * MS_PER_S
-        self._sizer.replay_past_load(now_s, now_ms)
-
     async def _order_all(self, moves: list[VmMove]) -> None:
         if not await self._reservations.reserve([move.vm for move in moves]):
             return
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -54,10 +54,6 @@
         self._first_demand_s: float | None = None
         self._may_shrink = False
 
-    def replay_past_load(self, now_s: float, now_ms: float) -> None:
-        """Learn from the known jobs which bursts of demand occurred under earlier holders."""
-        self._demand.replay_past_load(now_s, now_ms)
-
     def choose(self, pools: Iterable[Pool], vms: Mapping[str, Vm], now_s: float) -> list[VmMove]:
         """Update the moves in progress by the list of VMs, and return the moves to order now."""
         self._update_orders(vms, now_s)
@@ -154,9 +150,7 @@
             idle_vms=tuple(vm.name for vm in work.vms if self._is_idle(vm, pool.standby)),
             even_share_vms=even_share_vms,
             vms_for_long_running=work.count_vms_for_long_running(),
-            expected_vms=self._demand.forecast_load_vms(
-                pool.name, load_vms, work.compute_short_load_vms(), now_s, self._move_s
-            ),
+            expected_vms=self._demand.forecast_load_vms(pool.name, load_vms, self._move_s),
         )
         lacks_surplus = compute_surplus_vms(load, self._policy) <= 0
         if pool.standby or lacks_surplus or not self._may_shrink:
--- a/comfreywind/scheduling/pool_work.py
+++ b/comfreywind/scheduling/pool_work.py
@@ -1,7 +1,6 @@
 """The work and the VMs of each pool at one moment, by the scheduler state."""
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from comfreywind.decisions.scheduling.placement import compute_effective_request, count_slots
@@ -30,19 +29,14 @@
         The scarcest resource decides, because tasks may fill the memory of VMs whose processors are
         idle.
         """
+        capacity = sum_resources(target.entry.capacity for target in self.targets)
         running = sum_resources(target.used for target in self.targets)
-        return self._compute_vms(running.add(_sum_waiting(self.waiting)))
-
-    def compute_short_load_vms(self) -> float:
-        """Return the part of the load that is not of long-running tasks, in the same unit."""
-        running = sum_resources(
-            run.reserved
-            for target in self.targets
-            for run in target.runs.values()
-            if not run.long_running
+        waiting = sum_resources(
+            compute_effective_request(record.job.steps[key.step])
+            for record in self.waiting
+            for key in record.waiting
         )
-        waiting = [record for record in self.waiting if not record.job.long_running]
-        return self._compute_vms(running.add(_sum_waiting(waiting)))
+        return len(self.targets) * running.add(waiting).compute_dominant_share(capacity)
 
     def count_vms_for_long_running(self) -> int:
         """Return how many empty VMs the waiting long-running tasks need.
@@ -63,18 +57,6 @@
             vms += math.ceil(len(record.waiting) / max(1, slots))
         return vms
 
-    def _compute_vms(self, work: Resources) -> float:
-        capacity = sum_resources(target.entry.capacity for target in self.targets)
-        return len(self.targets) * work.compute_dominant_share(capacity)
-
-
-def _sum_waiting(records: Iterable[JobRecord]) -> Resources:
-    return sum_resources(
-        compute_effective_request(record.job.steps[key.step])
-        for record in records
-        for key in record.waiting
-    )
-
 
 def group_by_pool(scheduler_state: SchedulerState) -> dict[str, PoolWork]:
     """Return the work of every pool that has targets or waiting jobs, in one pass."""
