Move the questions about a VM that may go down out of the scheduler state

What maintenance asks of it, whether the tasks on a target allow its VM to go down, is in vm_availability.py, and a target records an order for its VM itself. No behaviour changes; the tests call the functions at their new place.

--- a/comfreywind/scheduling/maintenance_keeper.py
+++ b/comfreywind/scheduling/maintenance_keeper.py
@@ -36,6 +36,11 @@
 from comfreywind.scheduling.target_link import EARLIER_RUNS_LAPSE_S
 from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
+from comfreywind.scheduling.vm_availability import (
+    count_short_runs,
+    evict_colocated,
+    list_step_health,
+)
 from comfreywind.scheduling.vm_order import VmOrder
 from comfreywind.scheduling.vm_watch import VmWatch
 
@@ -184,7 +189,7 @@
         record = self._state.targets.get(target_id)
         if record is not None:
             record.maintenance_due = False
-            self._state.revert_vm_order(record)
+            record.revert_vm_order()
         self._emptying_since_s.pop(target_id, None)
 
     async def _empty_and_order(
@@ -257,7 +262,7 @@
     def _evict(self, vm: Vm, now_s: float) -> None:
         record = self._state.targets.get(vm.target_id)
         if record is not None and self._keeper.is_valid():
-            self._publish(self._state.evict_colocated(record, now_s))
+            self._publish(evict_colocated(self._state, record, now_s))
 
     def _start_emptying(self, vm: Vm, now_s: float) -> None:
         record = self._state.targets.get(vm.target_id)
@@ -270,8 +275,8 @@
     ) -> WaveVm:
         record = self._state.targets.get(vm.target_id)
         since_s = self._emptying_since_s.get(vm.target_id)
-        work = 0 if record is None else self._state.count_short_runs(record)
-        health = [] if record is None else self._state.list_step_health(record)
+        work = 0 if record is None else count_short_runs(self._state, record)
+        health = [] if record is None else list_step_health(self._state, record)
         return WaveVm(
             name=vm.name,
             pool=vm.pool,
@@ -296,7 +301,7 @@
         now_s = self._clock.read_monotonic_s()
         record = self._state.targets.get(vm.target_id)
         if record is not None:
-            self._state.apply_vm_order(record)
+            record.apply_vm_order()
         order = orders.setdefault(vm.name, VmOrder(vm.name, vm.target_id, now_s))
         order.sent_s = now_s
         answer = await self._vm_client.maintain(vm.name, wave.wave, self._node, self._term.epoch)
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -112,7 +112,7 @@
     def _resume_work(self, target_id: str) -> None:
         record = self._state.targets.get(target_id)
         if record is not None:
-            self._state.revert_vm_order(record)
+            record.revert_vm_order()
 
     def _group_by_pool(self, vms: Mapping[str, Vm]) -> dict[str, PoolWork]:
         work_by_pool = group_by_pool(self._state)
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -8,7 +8,6 @@
 import logging
 from collections.abc import Iterable
 
-from comfreywind.decisions.scheduling.maintenance import StepHealth
 from comfreywind.decisions.scheduling.pace import choose_pace
 from comfreywind.decisions.scheduling.placement import compute_effective_request
 from comfreywind.jobs.job import Job
@@ -276,50 +275,6 @@
                 pending[queue] = pending.get(queue, 0) + 1
         return pending
 
-    def count_short_runs(self, target: TargetRecord) -> int:
-        """Return the number of runs on the target that are not of long-running tasks."""
-        return sum(not self._is_long_running(run.key) for run in target.runs.values())
-
-    def list_step_health(self, target: TargetRecord) -> list[StepHealth]:
-        """Return the health of the long-running steps that have tasks on the target."""
-        steps = {
-            (run.key.job_id, run.key.occurrence, run.key.step)
-            for run in target.runs.values()
-            if self._is_long_running(run.key)
-        }
-        return [self._get_step_health(*step) for step in steps]
-
-    def apply_vm_order(self, target: TargetRecord) -> None:
-        """Count the runs of a target as unavailable, because its VM is ordered down or moved."""
-        target.emptying = True
-        for run in target.runs.values():
-            run.ending = True
-            run.at_work = False
-
-    def revert_vm_order(self, target: TargetRecord) -> None:
-        """Revert `apply_vm_order`, because the order for the VM is not carried out."""
-        target.emptying = False
-        for run in target.runs.values():
-            run.ending = run.state is RunState.STOPPING
-
-    def evict_colocated(self, target: TargetRecord, now_s: float) -> list[Order]:
-        """Return stop orders for long-running tasks that keep a VM up, at most one for each step.
-
-        A VM can't go down with more tasks of a step than may be unavailable at the same time.
-        """
-        orders: list[Order] = []
-        evicted: set[tuple[str, int, int]] = set()
-        for run in list(target.runs.values()):
-            step_key = (run.key.job_id, run.key.occurrence, run.key.step)
-            if step_key in evicted or not run.at_work or not self._is_long_running(run.key):
-                continue
-            health = self._get_step_health(*step_key)
-            count_on_target = health.at_work_on[target.entry.target_id]
-            if count_on_target > health.limit and health.unavailable < health.limit:
-                evicted.add(step_key)
-                orders.extend(self.stop_run(run, now_s))
-        return orders
-
     def pop_changed_jobs(self) -> list[JobRecord]:
         """Return and clear the jobs whose progress has changed since the last call."""
         changed = list(self.changed_jobs.values())
@@ -362,20 +317,6 @@
             return
         record.waiting[key] = None
 
-    def _is_long_running(self, key: TaskKey) -> bool:
-        record = self.jobs.get(key.job_id)
-        return record is not None and record.open and record.job.steps[key.step].long_running
-
-    def _get_step_health(self, job_id: str, occurrence: int, number: int) -> StepHealth:
-        record = self.jobs[job_id]
-        step = record.job.steps[number]
-        at_work_on: dict[str, int] = {}
-        for run in record.runs.values():
-            if (run.key.occurrence, run.key.step) == (occurrence, number) and run.at_work:
-                at_work_on[run.target_id] = at_work_on.get(run.target_id, 0) + 1
-        unavailable = step.task_count - sum(at_work_on.values())
-        return StepHealth(step.unavailable_limit, unavailable, at_work_on)
-
     def _apply_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
         if answer is StartAnswer.REPLACED:
             record.leaving = True
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -5,7 +5,7 @@
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.jobs.task_key import TaskKey
-from comfreywind.scheduling.run_record import RunRecord
+from comfreywind.scheduling.run_record import RunRecord, RunState
 
 
 @dataclass(slots=True)
@@ -66,3 +66,16 @@
         if self.runs.get(run.key) is run:
             del self.runs[run.key]
             self.used = self.used.subtract(run.reserved)
+
+    def apply_vm_order(self) -> None:
+        """Count the runs as unavailable, because the VM is ordered down or moved."""
+        self.emptying = True
+        for run in self.runs.values():
+            run.ending = True
+            run.at_work = False
+
+    def revert_vm_order(self) -> None:
+        """Revert `apply_vm_order`, because the order for the VM is not carried out."""
+        self.emptying = False
+        for run in self.runs.values():
+            run.ending = run.state is RunState.STOPPING
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -15,6 +15,7 @@
 from comfreywind.jobs.team import Team
 from comfreywind.scheduling.orders import PaceOrder, StartOrder
 from comfreywind.scheduling.run_record import RunState
+from comfreywind.scheduling.vm_availability import list_step_health
 from tests.helpers.scheduler_harness import (
     JOB_ID,
     QUEUE,
@@ -271,13 +272,13 @@
     for order in (first, second):
         harness.report(order.target_id, active=((order.key, order.run_id),))
     scheduler_state = harness.scheduler_state
-    scheduler_state.apply_vm_order(scheduler_state.targets[first.target_id])
+    scheduler_state.targets[first.target_id].apply_vm_order()
     harness.report(first.target_id, active=((first.key, first.run_id),))
-    (health,) = scheduler_state.list_step_health(scheduler_state.targets[second.target_id])
+    (health,) = list_step_health(scheduler_state, scheduler_state.targets[second.target_id])
     assert health.unavailable == 1
-    scheduler_state.revert_vm_order(scheduler_state.targets[first.target_id])
+    scheduler_state.targets[first.target_id].revert_vm_order()
     harness.report(first.target_id, active=((first.key, first.run_id),))
-    (health,) = scheduler_state.list_step_health(scheduler_state.targets[second.target_id])
+    (health,) = list_step_health(scheduler_state, scheduler_state.targets[second.target_id])
     assert health.unavailable == 0
 
 
