--- a/comfreywind/decisions/peer_choice.py
+++ b/comfreywind/decisions/peer_choice.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping
 from random import Random
 
-# A caller waits for one of them; most faults that cut a node off spare more nodes than these.
+# The caller waits while they are asked one after the other.
 PEER_LIMIT = 3
 # A node that didn't take a call is not asked again within this time.
 PEER_PAUSE_S = 1.0
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -33,7 +33,6 @@
 RETRY_AFTER_S = 1
 BEARER = 'bearer '
 MS_PER_S = 1000
-STATUS_UNREADABLE = 500
 METHODS = frozenset(('GET', 'POST', 'DELETE'))
 DEFAULT_DEADLINE_S = 3.0
 # Subtracted from the caller's deadline, so that the reply reaches the caller in time.
@@ -122,12 +121,11 @@
             return await self._route(call.method, call.path, call.headers, call.body)
         except Reply as reply:
             return reply
-        except (RowFormatError, StoreUnavailableError) as error:
-            error_reply = _make_error_reply(error)
-            log.info('%s %s: status %d: %s', call.method, call.path, error_reply.status, error)
-        if error_reply.status == STATUS_UNREADABLE:
-            return error_reply
-        return await self._hand_over(call, error_reply)
+        except RowFormatError as error:
+            return _reply_error(call, error)
+        except StoreUnavailableError as error:
+            own_reply = _reply_error(call, error)
+        return await self._hand_over(call, own_reply)
 
     async def _hand_over(self, call: CallerCall, own_reply: Reply) -> Reply:
         """Return the reply of a node that serves the call, or the own one if there is none."""
@@ -223,6 +221,12 @@
 _UNKNOWN_OUTCOME = Reply(504, {'error': 'the outcome is not known'})
 
 
+def _reply_error(call: CallerCall, error: Exception) -> Reply:
+    reply = _make_error_reply(error)
+    log.info('%s %s: status %d: %s', call.method, call.path, reply.status, error)
+    return reply
+
+
 @singledispatch
 def _make_error_reply(error: Exception) -> Reply:
     raise TypeError(f'no reply is defined for the error {error!r}')
@@ -240,7 +244,7 @@
 
 @_make_error_reply.register
 def _reply_unreadable(error: RowFormatError) -> Reply:
-    return Reply(STATUS_UNREADABLE, {'error': "the stored state of the job can't be read"})
+    return Reply(500, {'error': "the stored state of the job can't be read"})
 
 
 def _read_deadline_s(headers: dict[bytes, bytes]) -> float:
