--- a/comfreywind/decisions/scheduling/pool_policy.py
+++ b/comfreywind/decisions/scheduling/pool_policy.py
@@ -22,9 +22,6 @@
     While a holder knows of no short job, and for `first_demand_s` after it has seen the first one,
     nothing tells how large a pool has to be: pools give up no VMs, for at most `initial_hold_s`
     after the takeover.
-
-    The defaults of `base_part` and `shrink_after_s` maximise the worth earned
-    less the price of VM time in the scenarios turns-small and turns-grown of `comfreywind lab`.
     """
 
     target_fill: float = 0.7
