Notice the return of the store at once

After the return at 16.5 s the first job was accepted at 17.3 s (store that resets or refuses) or 19.3 s (silent store); until then every caller got 503.

Cause: a node refuses callers while its rules may be out of date, and only the read of the change feed confirms them. That read waits up to 0.7 s for a change, so the first confirmation came at its end; and a read sent into a silent store is given up after 2.2 s only, as is any other call after 1.5 s. Class: the end of an outage is noticed at the pace of calls that were made for normal times. The same cause sat in the feeds of the holder and in the renewal of the term.

Change: ServiceContact follows whether the store answers, says so in one log line and a metric each way, and abandons calls that a silent store has lost once it answers a later one. ServiceProbe calls it every 0.25 s while it is away, also while earlier probes are open. A feed that has failed reads the changes so far without waiting.

--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -65,6 +65,14 @@
     """The permission for a call ended while it waited to be sent; nothing was done."""
 
 
+class CallAbandonedError(PlatformError):
+    """The answer to a call was lost in an outage; what was asked may or may not have been done."""
+
+
+class StoreCallLostError(StoreUnavailableError):
+    """A call to the store was abandoned, because the store answered one that was sent later."""
+
+
 class RowsChangedError(PlatformError):
     """A transaction was refused because rows changed; `rows` are those named, as they are now."""
 
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -2,6 +2,7 @@
 
 import logging
 import signal
+from functools import partial
 
 import trio
 
@@ -9,10 +10,12 @@
 from comfreywind.errors import ListenError
 from comfreywind.exposed_metrics import ExposedMetrics
 from comfreywind.http.server import serve_app
+from comfreywind.http.service_probe import ServiceProbe
 from comfreywind.intake.job_app import JobApp
 from comfreywind.intake.job_notifier import JobNotifier
 from comfreywind.intake.job_store import JobStore
 from comfreywind.intake.peer_relay import PeerRelay
+from comfreywind.jobs.tables import TABLE_TERM, TERM_KEY, TERM_PARTITION
 from comfreywind.log_handler import BoundedHandler
 from comfreywind.logs import configure_logs
 from comfreywind.node.peer_app import PeerApp
@@ -52,6 +55,10 @@
         self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock, self._metrics)
         self._rules = RulesFollower(self._rows, clock)
         self._keeper = TermKeeper(self._rows, settings.name, clock, settings.cores)
+        self._probe = ServiceProbe(
+            self._rows.contact,
+            partial(self._rows.read_row, TABLE_TERM, TERM_PARTITION, TERM_KEY),
+        )
         self._holder: Holder | None = None
         self._notifier = JobNotifier(self._find_holder)
         store = JobStore(
@@ -86,6 +93,7 @@
             for name, work in (
                 ('rules', self._rules.run),
                 ('term', self._keeper.run),
+                ('probe', self._probe.run),
                 ('holder', self._hold_terms),
                 ('notices', self._notifier.run),
             ):
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -7,15 +7,20 @@
 from typing import Any
 from urllib.parse import quote
 
+import trio
+
 from comfreywind.clock import Clock
 from comfreywind.errors import (
+    CallAbandonedError,
     CallNotPermittedError,
     HistoryLostError,
     RowsChangedError,
+    StoreCallLostError,
     StoreRefusedError,
     StoreUnavailableError,
 )
 from comfreywind.http.client import HttpClient, HttpReply, Permit
+from comfreywind.http.service_contact import ServiceContact
 from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.concurrent_calls import run_concurrently
 from comfreywind.platform.store_call import CALL_FAILURES
@@ -58,7 +63,7 @@
         self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
         self._clock = clock
         self._store_time: StoreTime | None = None
-        self._reachable = True
+        self.contact = ServiceContact('store', clock, metrics)
 
     @property
     def store_time(self) -> StoreTime | None:
@@ -69,10 +74,10 @@
     def reachable(self) -> bool:
         """Return whether the store answered the last call to it, and did not refuse it.
 
-        Reads of feeds don't count: they break when the store drops its history, while it serves all
-        other calls.
+        Reads that wait for changes don't count: they break when the store drops its history, while
+        it serves all other calls.
         """
-        return self._reachable
+        return self.contact.reachable
 
     async def commit(
         self, partition: str, changes: Sequence[RowChange], permit: Permit | None = None
@@ -131,16 +136,16 @@
         Without a change it waits for the first one, up to `feed_wait_s`. Raises HistoryLostError
         when the store has dropped the history after that version.
         """
-        path = (
-            f'/v1/rows-feed?table_name={quote(table, safe="")}'
-            f'&after={after_version}&wait_ms={self._feed_wait_ms}'
-        )
-        reply = await _call(self._feed_client, 'GET', path)
-        if reply.status == STATUS_GONE:
-            raise HistoryLostError(
-                f'table {table}: the store has dropped the history after version {after_version}'
-            )
-        return _decode_page(_read_document(reply))
+        path = _make_feed_path(table, after_version, self._feed_wait_ms)
+        return _decode_changes(await self._call_followed(self._feed_client, 'GET', path))
+
+    async def read_changes_now(self, table: str, after_version: int) -> RowPage:
+        """Return the rows that changed after the version, without waiting for a change.
+
+        Raises HistoryLostError as `read_changes` does.
+        """
+        path = _make_feed_path(table, after_version, 0)
+        return _decode_changes(await self._exchange('GET', path, None, None))
 
     async def _read_page(self, table: str, partition: str, bounds: str) -> RowPage:
         query = f'table_name={quote(table, safe="")}&part={quote(partition, safe="")}{bounds}'
@@ -168,17 +173,35 @@
     async def _exchange(
         self, method: str, path: str, request: object | None, permit: Permit | None
     ) -> HttpReply:
+        sent_s = self._clock.read_monotonic_s()
         try:
-            reply = await _call(self._client, method, path, request, permit)
-        except StoreRefusedError:
-            # The permission ended; the call was not sent.
+            reply = await self._call_followed(self._client, method, path, request, permit)
+        except (StoreRefusedError, StoreCallLostError):
+            # The call was not sent, or its outcome says nothing of the store as it is now.
             raise
-        except StoreUnavailableError:
-            self._reachable = False
+        except StoreUnavailableError as error:
+            silent = isinstance(error.__cause__, trio.TooSlowError)
+            self.contact.record_failure(sent_s, str(error), silent)
             raise
-        self._reachable = reply.status not in STATUSES_REFUSED
+        if reply.status in STATUSES_REFUSED:
+            self.contact.record_failure(sent_s, f'status {reply.status}')
+        else:
+            self.contact.record_answer(sent_s)
         return reply
 
+    async def _call_followed(
+        self,
+        client: HttpClient,
+        method: str,
+        path: str,
+        request: object | None = None,
+        permit: Permit | None = None,
+    ) -> HttpReply:
+        try:
+            return await self.contact.follow(partial(_call, client, method, path, request, permit))
+        except CallAbandonedError as error:
+            raise StoreCallLostError(f'{method} {path[:60]}: no reply: {error}') from error
+
     def _update_store_time(self, document: dict[str, Any], sent_s: float) -> None:
         with _wrap_decoding_errors():
             store_ms = float(document['now_ms'])
@@ -200,6 +223,17 @@
         raise StoreUnavailableError(f'{method} {path[:60]}: no reply: {error!r}') from error
 
 
+def _make_feed_path(table: str, after_version: int, wait_ms: int) -> str:
+    table_name = quote(table, safe='')
+    return f'/v1/rows-feed?table_name={table_name}&after={after_version}&wait_ms={wait_ms}'
+
+
+def _decode_changes(reply: HttpReply) -> RowPage:
+    if reply.status == STATUS_GONE:
+        raise HistoryLostError('the store has dropped the changes after the version asked for')
+    return _decode_page(_read_document(reply))
+
+
 def _read_document(reply: HttpReply) -> dict[str, Any]:
     if reply.status in STATUSES_REFUSED:
         raise StoreRefusedError(f'the store refused the call: status {reply.status}')
--- a/comfreywind/scheduling/row_feed.py
+++ b/comfreywind/scheduling/row_feed.py
@@ -9,10 +9,12 @@
 from comfreywind.errors import HistoryLostError, StoreUnavailableError
 from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.rows_client import RowsClient
-from comfreywind.platform.stored_row import StoredRow
+from comfreywind.platform.stored_row import RowPage, StoredRow
 from comfreywind.supervision import note_unexpected
 
 RETRY_S = 0.05
+# Upper bound of the pause between attempts while the store is out of reach; its return ends a pause.
+OUTAGE_RETRY_S = 1.0
 
 log = logging.getLogger('comfreywind.feed')
 
@@ -50,6 +52,7 @@
         self._handle_row = handle_row
         self._handle_snapshot = handle_snapshot
         self._clock = clock
+        self._failed = False
         self.confirmed_s: float | None = None
         self.loaded = trio.Event()
 
@@ -60,21 +63,37 @@
             try:
                 version = await self._read_next(version)
             except HistoryLostError as error:
-                log.info('%s; reading the whole table again', error)
+                log.info('table %s: %s; reading it as a whole', self._table, error)
                 version = None
             except StoreUnavailableError as error:
                 log.info('table %s not read, trying again: %s', self._table, error)
-                await trio.sleep(RETRY_S)
+                self._failed = True
+                await self._pause()
+            else:
+                self._failed = False
+
+    async def _pause(self) -> None:
+        await trio.sleep(RETRY_S)
+        with trio.move_on_after(OUTAGE_RETRY_S):
+            await self._rows.contact.wait_for_return()
 
     async def _read_next(self, version: int | None) -> int:
         requested_s = self._clock.read_monotonic_s()
         if version is None:
             return await self._read_snapshot(requested_s)
+        if self._failed:
+            # A read that waits for a change would confirm what is known only at its end.
+            page = await self._rows.read_changes_now(self._table, version)
+            return self._apply_changes(page, requested_s)
         page = await self._rows.read_changes(self._table, version)
+        # An answer without changes is sent at the end of the wait, so it is valid for now.
+        confirmed_s = requested_s if page.rows else self._clock.read_monotonic_s()
+        return self._apply_changes(page, confirmed_s)
+
+    def _apply_changes(self, page: RowPage, confirmed_s: float) -> int:
         for row in page.rows:
             self._deliver(row)
-        # An answer without changes is sent at the end of the wait, so it is valid for now.
-        self.confirmed_s = requested_s if page.rows else self._clock.read_monotonic_s()
+        self.confirmed_s = confirmed_s
         return page.version
 
     def _deliver(self, row: StoredRow) -> None:
--- a/comfreywind/stand_ins/jobs/store_app.py
+++ b/comfreywind/stand_ins/jobs/store_app.py
@@ -33,6 +33,8 @@
         if self.faults.refusing:
             await send_json(send, 503, {})
             return
+        if self.faults.silent:
+            await trio.sleep_forever()
         await trio.sleep(self.faults.delay_s)
         query = parse_qs(scope['query_string'].decode(), keep_blank_values=True)
         path = scope['path']
