Queue a task again at once if its order to start was not sent

Cause: every start without a reply counted as perhaps started, also one for which no connection could be opened. Its task waited for a report of the target or for the end of its lease, up to 5 s, and nothing told it from a run that had begun. Class: outcomes that are known are handled as unknown.

Change: the client of a target tells three cases apart. UNREACHABLE: no connection, the order was not sent; the task is queued again at once, and the target gets nothing new for 1 s. DISCONNECTED: the target closed the connection instead of replying. UNKNOWN: no reply in time. The last two are handled as before, as the run may exist.

Test: test_start_without_reply and the cases of test_answers_to_starts; before, all three cases were UNKNOWN.

--- a/comfreywind/jobs/start_answer.py
+++ b/comfreywind/jobs/start_answer.py
@@ -4,9 +4,11 @@
 
 
 class StartAnswer(enum.StrEnum):
-    """Answer to a start order; all but STARTED and UNKNOWN mean that no run was started.
+    """Answer to a start order; unless noted here, no run was started.
 
-    After UNKNOWN, for an order without a usable reply, the run may exist or may start later.
+    After UNKNOWN, for an order without a usable reply in time, the run may exist or may start later.
+    The same holds for DISCONNECTED, when the target closed the connection instead of replying: it
+    may have crashed. After UNREACHABLE the order was not sent, for want of a connection.
     """
 
     STARTED = 'started'
@@ -19,3 +21,5 @@
     UNHEALTHY = 'unhealthy'
     REPLACED = 'replaced'
     UNKNOWN = 'unknown'
+    DISCONNECTED = 'disconnected'
+    UNREACHABLE = 'unreachable'
--- a/comfreywind/platform/target_client.py
+++ b/comfreywind/platform/target_client.py
@@ -4,6 +4,9 @@
 import logging
 from typing import Any
 
+import httpcore
+import trio
+
 from comfreywind.errors import CallNotPermittedError, TargetReplacedError, TargetSilentError
 from comfreywind.http.client import HttpClient, HttpReply, Permit
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
@@ -71,7 +74,8 @@
     ) -> StartAnswer:
         """Order the start of a run under a lease that lasts until `expires_ms` at least.
 
-        Returns UNKNOWN without a usable reply; the target may still start the run then.
+        Returns UNKNOWN or DISCONNECTED without a usable reply; the target may still start the run
+        then. Returns UNREACHABLE if there was no connection on which to send the order.
         """
         order: dict[str, Any] = {
             'task_id': str(key),
@@ -83,14 +87,18 @@
         order.update(
             {name: text for name, text in (('checkpoint', checkpoint), ('ticket', ticket)) if text}
         )
+        permit = _RecordingPermit(self._permit)
         try:
-            reply = await self._send('/v1/run-start', order)
+            reply = await self._client.call(
+                'POST', '/v1/run-start', order, self._headers, permit.ask
+            )
         except CallNotPermittedError as error:
             log.info('start of task %s run %d: order not sent: %s', key, run_id, error)
             return StartAnswer.EXPIRED
         except CALL_FAILURES as error:
-            log.info('start of task %s run %d: no reply, outcome unknown: %r', key, run_id, error)
-            return StartAnswer.UNKNOWN
+            answer = _classify_failure(error, permit.granted)
+            log.info('start of task %s run %d: no reply, %s: %r', key, run_id, answer, error)
+            return answer
         if reply.status != STATUS_CONFLICT:
             return ANSWERS_BY_STATUS.get(reply.status, StartAnswer.UNKNOWN)
         return ANSWERS_BY_REASON.get(_read_reason(reply), StartAnswer.UNKNOWN)
@@ -162,6 +170,25 @@
         return reply.status == STATUS_OK
 
 
+class _RecordingPermit:
+    """Asks a permit, and remembers whether the call was sent."""
+
+    def __init__(self, permit: Permit) -> None:
+        self._permit = permit
+        self.granted = False
+
+    def ask(self) -> bool:
+        self.granted = self._permit()
+        return self.granted
+
+
+def _classify_failure(error: Exception, sent: bool) -> StartAnswer:
+    if not sent:
+        return StartAnswer.UNREACHABLE
+    late = isinstance(error, (trio.TooSlowError, httpcore.TimeoutException))
+    return StartAnswer.UNKNOWN if late else StartAnswer.DISCONNECTED
+
+
 def _read_reason(reply: HttpReply) -> str:
     try:
         return str(reply.read_json().get('reason', ''))
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -35,10 +35,12 @@
     StartAnswer.NO_ROOM: 0.15,
     StartAnswer.UNHEALTHY: 1.0,
     StartAnswer.INVALID: 1.0,
+    StartAnswer.UNREACHABLE: 1.0,
 }
 STATE_BY_ANSWER = {
     StartAnswer.STARTED: RunState.RUNNING,
     StartAnswer.UNKNOWN: RunState.UNCONFIRMED,
+    StartAnswer.DISCONNECTED: RunState.UNCONFIRMED,
 }
 # The members of a gang are started within this time of each other, so until then a gang of which
 # some members still wait is not broken.
--- a/tests/field_faults/test_silent_target.py
+++ b/tests/field_faults/test_silent_target.py
@@ -5,15 +5,21 @@
 its runs lapse after five seconds.
 """
 
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import pytest
 import trio
 
+from bench.ports import PORTS
 from comfreywind.errors import TargetSilentError
 from comfreywind.jobs.run_report import ActiveRun, TargetReport
-from comfreywind.platform.target_client import HOLD_MARGIN_S
+from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.platform.target_client import HOLD_MARGIN_S, TargetClient
 from comfreywind.scheduling.target_link import MAX_HOLD_WAIT_S
+from comfreywind.settings.address import Address
 from tests.helpers.scheduler_harness import SchedulerHarness
 from tests.scheduling.test_target_link import make_link
 
@@ -115,3 +121,39 @@
                 await trio.sleep(0.01)
         nursery.cancel_scope.cancel()
     assert trio.current_time() > target.lease_end_s
+
+
+async def close_at_once(stream: trio.SocketStream) -> None:
+    """Close a connection once a request has come, without a reply."""
+    await stream.receive_some()
+    await stream.aclose()
+
+
+async def never_reply(stream: trio.SocketStream) -> None:
+    """Keep a connection open without a reply."""
+    await trio.sleep_forever()
+
+
+# Guards against a task that waits for 5 s, until the lease of a run has lapsed, although its order
+# was never sent, and against a job that is given up for the crash of a target that its task never
+# reached (dewpa-sched with deadly tasks and a rack that crashes, LOST).
+@pytest.mark.parametrize(
+    ('serve', 'answer'),
+    [
+        (close_at_once, StartAnswer.DISCONNECTED),
+        (never_reply, StartAnswer.UNKNOWN),
+        (None, StartAnswer.UNREACHABLE),
+    ],
+)
+async def test_start_without_reply(
+    serve: Callable[[trio.SocketStream], Awaitable[None]] | None, answer: StartAnswer
+) -> None:
+    """Tells an order that was not sent from one to which the reply is missing."""
+    async with trio.open_nursery() as nursery:
+        address = Address('127.0.0.1', PORTS.find_free())
+        if serve is not None:
+            await nursery.start(partial(trio.serve_tcp, host=address.host), serve, address.port)
+        client = TargetClient('t0', address, 1, lambda: True)
+        key = TaskKey('00000000000000a1', 0, 0, 0)
+        assert await client.start(key, 1, '', 1, 1) is answer
+        nursery.cancel_scope.cancel()
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -79,6 +79,8 @@
     [
         (StartAnswer.STARTED, False),
         (StartAnswer.UNKNOWN, False),
+        (StartAnswer.DISCONNECTED, False),
+        (StartAnswer.UNREACHABLE, True),
         (StartAnswer.NO_ROOM, True),
         (StartAnswer.EXPIRED, True),
         (StartAnswer.UNHEALTHY, True),
@@ -99,6 +101,8 @@
     [
         (StartAnswer.STARTED, 0),
         (StartAnswer.UNKNOWN, 1),
+        (StartAnswer.DISCONNECTED, 1),
+        (StartAnswer.UNREACHABLE, 1),
         (StartAnswer.NO_ROOM, 1),
         (StartAnswer.UNHEALTHY, 1),
     ],
