Give up a task that crashes the targets that start it

Cause: a run that was lost with its target was queued again, and nothing counted that. Only ends that a target lists counted as attempts. Class: a failure that leaves no report is not accounted for.

Change: when an incarnation of a target ends without an order for its VM or a drain, judge_crash blames the runs of which no report had shown progress, or, without any, those that started in the last 5 s. A blamed task is a suspect: it starts on the target where the fewest runs would be lost, and nothing else starts there until it makes progress, so the next crash names it. It is given up, and its job failed, after two crashes if it is the only suspect of the second, else after four. The count is stored with the progress of the job, at the end of the row and only if there is one, so other rows stay as they are; a node of an earlier version can't read a row with it and starts no more of that job's tasks. A run that was cut off and lapsed counts only if its target returns as a new incarnation.

--- a/comfreywind/jobs/job_codec.py
+++ b/comfreywind/jobs/job_codec.py
@@ -1,5 +1,6 @@
 """Encodes accepted jobs, tombstones and progress as msgpack rows, and decodes them."""
 
+from collections.abc import Sequence
 from dataclasses import astuple
 from typing import Any
 
@@ -69,7 +70,10 @@
     done = [list(task) for task in sorted(progress.done)]
     failures = [[*task, *sorted(runs)] for task, runs in progress.failures.items()]
     checkpoints = [[*task, text] for task, text in progress.checkpoints.items()]
-    return _pack([FORMAT_VERSION, progress.state.value, done, failures, checkpoints])
+    crashes = [[*task, count] for task, count in progress.crashes.items()]
+    # Left out if empty, so that nodes of an earlier version can read the rows of most jobs.
+    optional = [crashes] if crashes else []
+    return _pack([FORMAT_VERSION, progress.state.value, done, failures, checkpoints, *optional])
 
 
 def decode_progress(value: bytes) -> Progress:
@@ -108,13 +112,18 @@
 
 
 def _make_progress(
-    state: str, done: list[list[int]], failures: list[list[int]], checkpoints: list[list[Any]]
+    state: str,
+    done: list[list[int]],
+    failures: list[list[int]],
+    checkpoints: list[list[Any]],
+    crashes: Sequence[list[int]] = (),
 ) -> Progress:
     return Progress(
         JobState(state),
         {(task[0], task[1], task[2]) for task in done},
         {(task[0], task[1], task[2]): set(task[3:]) for task in failures},
         {(task[0], task[1], task[2]): task[3] for task in checkpoints},
+        {(task[0], task[1], task[2]): int(task[3]) for task in crashes},
     )
 
 
--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -19,7 +19,7 @@
     `waiting` holds the tasks that are ready to start, in order. `unlocked` are the steps, as pairs
     of occurrence and step number, whose tasks became ready, and `open_tasks_by_step` counts the
     tasks of each step that are not done. `unlock_pending` is set while further steps may be
-    unlockable. `reconciled` is false while a run of an earlier holder may exist that this holder
+    unlockable. `suspects` are tasks that may crash their target. `reconciled` is false while a run of an earlier holder may exist that this holder
     does not know.
     """
 
@@ -33,6 +33,7 @@
     last_run_ids: dict[TaskKey, int] = field(default_factory=dict)
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     restarts: dict[TaskKey, int] = field(default_factory=dict)
+    suspects: set[TaskKey] = field(default_factory=set)
     unlocked: set[tuple[int, int]] = field(default_factory=set)
     open_tasks_by_step: dict[tuple[int, int], int] = field(default_factory=dict)
     unlock_pending: bool = True
@@ -46,6 +47,8 @@
                 self.open_tasks_by_step[occurrence, number] = step.task_count
         for occurrence, number, _ in self.progress.done:
             self.open_tasks_by_step[occurrence, number] -= 1
+        # Which of these tasks were beside the one at fault is not stored.
+        self.suspects.update(TaskKey(self.job.job_id, *task) for task in self.progress.crashes)
         self.objective_ms = compute_objective_ms(self.job)
         self.update_remaining()
 
@@ -61,6 +64,7 @@
             return False
         self.progress.done.add(task)
         self.progress.checkpoints.pop(task, None)
+        self.progress.crashes.pop(task, None)
         self.open_tasks_by_step[key.occurrence, key.step] -= 1
         if not self.open_tasks_by_step[key.occurrence, key.step]:
             self.unlock_pending = True
@@ -77,6 +81,8 @@
             self.waiting.pop(key, None)
         for task, run_ids in stored.failures.items():
             self.progress.failures.setdefault(task, set()).update(run_ids)
+        for task, count in stored.crashes.items():
+            self.progress.crashes[task] = max(count, self.progress.crashes.get(task, 0))
 
     def has_task(self, key: TaskKey) -> bool:
         """Return whether the job has the task; a target may report keys that don't exist."""
@@ -145,6 +151,18 @@
         if checkpoint and self.job.steps[key.step].checkpointing:
             self.progress.checkpoints[self._get_checkpoint_key(key)] = checkpoint
 
+    def get_crash_count(self, key: TaskKey) -> int:
+        """Return for how many crashes of targets the task was blamed."""
+        return self.progress.crashes.get((key.occurrence, key.step, key.number), 0)
+
+    def set_crash_count(self, key: TaskKey, count: int) -> None:
+        """Record for how many crashes the task was blamed; a count of 0 clears it of suspicion."""
+        task = (key.occurrence, key.step, key.number)
+        self.progress.crashes[task] = count
+        if not count:
+            del self.progress.crashes[task]
+            self.suspects.discard(key)
+
     def update_remaining(self) -> None:
         """Update the estimate of the longest chain of remaining work in the last occurrence."""
         last = self.job.count_occurrences() - 1
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -169,12 +169,38 @@
         orders: list[Order] = []
         for key in keys:
             run_id = self._find_run_id(record, [key])
-            order = self._start_task(record, key, run_id, allowed)
-            if order is None:
-                break
-            orders.append(order)
+            if key in record.suspects:
+                order = self._start_suspect(record, key, run_id, allowed)
+            else:
+                order = self._start_task(record, key, run_id, allowed)
+                if order is None:
+                    break
+            if order is not None:
+                orders.append(order)
         return orders
 
+    def _start_suspect(
+        self, record: JobRecord, key: TaskKey, run_id: int, allowed: Collection[str] | None
+    ) -> StartOrder | None:
+        """Start a task that may crash its target where the fewest runs would be lost.
+
+        All other runs there have made progress, so that a crash can be blamed on this one.
+        """
+        targets = self._state.targets
+        candidates = [
+            targets[capacity.target_id]
+            for capacity in self._capacity_index
+            if not targets[capacity.target_id].has_runs_without_progress()
+        ]
+        for target in sorted(candidates, key=_compute_crash_cost):
+            target_id = target.entry.target_id
+            if allowed is not None and target_id not in allowed:
+                continue
+            order = self._start_task(record, key, run_id, (target_id,))
+            if order is not None:
+                return order
+        return None
+
     def _start_gang(
         self, record: JobRecord, keys: list[TaskKey], allowed: Collection[str] | None
     ) -> list[Order]:
@@ -223,7 +249,8 @@
         same_step = self._count_same_step(record, key) if spread else NO_COUNTS
         chosen = self._capacity_index.choose(step, avoided, same_step, allowed)
         if chosen is None:
-            self._record_unplaced(step, bool(record.job.queue.advice_validity_ms))
+            narrowed = key in record.suspects or bool(record.job.queue.advice_validity_ms)
+            self._record_unplaced(step, narrowed)
             return None
         self._add_run(record, key, run_id, chosen.target_id)
         self._update_capacity(chosen.target_id)
@@ -242,10 +269,10 @@
         request = compute_effective_request(step)
         return any(unplaced.fits(request) for unplaced in self._unplaced_requests)
 
-    def _record_unplaced(self, step: Step, queue_is_advised: bool) -> None:
+    def _record_unplaced(self, step: Step, choice_is_narrowed: bool) -> None:
         """Record a request that fits on no target, unless more than capacity limits the step."""
         narrowed = step.required_label or step.target_limit or step.same_rack
-        if not narrowed and not queue_is_advised:
+        if not narrowed and not choice_is_narrowed:
             self._unplaced_requests.append(compute_effective_request(step))
 
     def _update_capacity(self, target_id: str) -> None:
@@ -277,6 +304,7 @@
             tail_latency_limit_ms=step.tail_latency_limit_ms,
             best_effort=step.best_effort,
             long_running=step.long_running,
+            suspect=key in record.suspects,
         )
         self._state.add_run(run, record)
 
@@ -333,6 +361,12 @@
         return counts
 
 
+def _compute_crash_cost(target: TargetRecord) -> tuple[int, int]:
+    """Return the sort key of a target by what a crash of it would end."""
+    long_running_count = sum(run.long_running for run in target.runs.values())
+    return (long_running_count, len(target.runs))
+
+
 def _describe_capacity(target: TargetRecord) -> TargetCapacity:
     return TargetCapacity(
         target.entry.target_id,
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass
 
+from comfreywind.decisions.scheduling.crash_blame import StartEvidence
 from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.task_key import TaskKey
 
@@ -31,6 +32,8 @@
     holder is about to end. `at_work` is set while a task has reported 100 % and is not ending.
     `level` is the tail latency that the task reports, in milliseconds. `last_progress_s` is when
     `progress_percent`, how much of the task is done, last increased, or 0 before the first report.
+    `evidence` is what shows that the run has started. `suspect` marks the run of a task that may
+    crash its target: nothing else is started there until a report has shown progress of the run.
     """
 
     key: TaskKey
@@ -53,6 +56,17 @@
     tail_latency_limit_ms: int = 0
     best_effort: bool = False
     long_running: bool = False
+    evidence: StartEvidence = StartEvidence.NONE
+    suspect: bool = False
+
+    @property
+    def shows_progress(self) -> bool:
+        """Return whether a report has shown progress of the run."""
+        return self.evidence is StartEvidence.PROGRESS
+
+    def add_evidence(self, evidence: StartEvidence) -> None:
+        """Keep the strongest evidence that the run has started."""
+        self.evidence = max(self.evidence, evidence)
 
     def is_stalled(self, now_s: float) -> bool:
         """Return whether a short task that has reported progress before is stalled now."""
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -8,6 +8,12 @@
 import logging
 from collections.abc import Iterable
 
+from comfreywind.decisions.scheduling.crash_blame import (
+    CrashVerdict,
+    LostRun,
+    StartEvidence,
+    judge_crash,
+)
 from comfreywind.decisions.scheduling.pace import choose_pace
 from comfreywind.decisions.scheduling.placement import compute_effective_request
 from comfreywind.jobs.job import Job
@@ -42,6 +48,10 @@
     StartAnswer.UNKNOWN: RunState.UNCONFIRMED,
     StartAnswer.DISCONNECTED: RunState.UNCONFIRMED,
 }
+EVIDENCE_BY_ANSWER = {
+    StartAnswer.STARTED: StartEvidence.ACKNOWLEDGED,
+    StartAnswer.DISCONNECTED: StartEvidence.DISCONNECTED,
+}
 # The members of a gang are started within this time of each other, so until then a gang of which
 # some members still wait is not broken.
 GANG_START_WINDOW_S = 0.5
@@ -151,6 +161,22 @@
         record.stored_number = 0
         record.acknowledged_number = 0
         record.consecutive_failures = 0
+        self.end_incarnation(record, now_s)
+
+    def end_incarnation(self, record: TargetRecord, now_s: float) -> None:
+        """Requeue the runs of a target that has ended, and blame their tasks if it has crashed.
+
+        A target that was draining or whose VM was ordered down has not crashed.
+        """
+        lost = (*record.lapsed_runs, *record.runs.values())
+        record.lapsed_runs = ()
+        if lost and not (record.entry.draining or record.emptying):
+            self._apply_crash(record, lost)
+        self.requeue_runs(record, now_s)
+
+    def lapse_runs(self, record: TargetRecord, now_s: float) -> None:
+        """Requeue the runs of a silent target whose leases have ended."""
+        record.lapsed_runs = tuple(record.runs.values())
         self.requeue_runs(record, now_s)
 
     def requeue_runs(self, record: TargetRecord, now_s: float) -> None:
@@ -171,6 +197,8 @@
             self.reset_target(record, report.incarnation_start_ms, now_s)
         record.reported = True
         record.silent = False
+        record.heard_s = now_s
+        record.lapsed_runs = ()
         for ended in report.ended:
             if ended.number > record.applied_number:
                 self._apply_end(record, ended, now_s)
@@ -195,6 +223,7 @@
             return []
         record = self.targets[order.target_id]
         run.last_answer_s = now_s
+        run.add_evidence(EVIDENCE_BY_ANSWER.get(answer, StartEvidence.NONE))
         next_state = STATE_BY_ANSWER.get(answer)
         if next_state is not None:
             run.state = next_state if run.state is RunState.STARTING else run.state
@@ -322,7 +351,7 @@
     def _apply_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
         if answer is StartAnswer.REPLACED:
             record.leaving = True
-            self.requeue_runs(record, now_s)
+            self.end_incarnation(record, now_s)
         cooldown_s = COOLDOWN_BY_ANSWER_S.get(answer, 0)
         record.cooldown_until_s = max(record.cooldown_until_s, now_s + cooldown_s)
 
@@ -409,6 +438,43 @@
             self._close_job(record)
         self.mark_changed(record)
 
+    def _apply_crash(self, target: TargetRecord, lost: Iterable[RunRecord]) -> None:
+        runs = [
+            LostRun(
+                run.key,
+                run.evidence,
+                target.heard_s - run.started_s,
+                record.get_crash_count(run.key),
+            )
+            for run in lost
+            if (record := self.jobs.get(run.key.job_id)) is not None
+        ]
+        for verdict in judge_crash(runs):
+            self._apply_verdict(self.jobs[verdict.key.job_id], target, verdict)
+
+    def _apply_verdict(
+        self, record: JobRecord, target: TargetRecord, verdict: CrashVerdict
+    ) -> None:
+        key = verdict.key
+        if not record.open:
+            return
+        if verdict.suspect:
+            record.suspects.add(key)
+        if verdict.crash_count == record.get_crash_count(key):
+            return
+        record.set_crash_count(key, verdict.crash_count)
+        self.mark_changed(record)
+        log.info(
+            'task %s: blamed for %d crashes of targets, the last of %s%s',
+            key,
+            verdict.crash_count,
+            target.entry.target_id,
+            '; given up' if verdict.given_up else '',
+        )
+        if verdict.given_up:
+            record.progress.state = JobState.FAILED
+            self._close_job(record)
+
     def _apply_active(
         self, target: TargetRecord, key: TaskKey, run_id: int, now_s: float
     ) -> list[Order]:
@@ -530,6 +596,9 @@
     if run is None or run.run_id != active.run_id:
         return
     run.checkpoint = active.checkpoint or run.checkpoint
+    run.add_evidence(
+        StartEvidence.PROGRESS if active.progress_percent > 0 else StartEvidence.ACKNOWLEDGED
+    )
     run.at_work = active.progress_percent >= 100 and not run.ending
     run.metric_value = active.metric_value
     if active.progress_percent > run.progress_percent or not run.last_progress_s:
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -30,7 +30,8 @@
 EARLIER_RUNS_LAPSE_S = RUN_LEASE_S * CLOCK_DRIFT_RATIO + LEASE_MARGIN_S + 0.1
 # The longest time for which a target may keep a hold request open until it reports.
 MAX_HOLD_WAIT_S = 1.0
-# The same for a target with a run that is not confirmed: only a report shows what became of it.
+# The same for a target with a run without a confirmed start, or with one that may crash it: only a
+# report shows what became of it.
 UNCONFIRMED_WAIT_S = 0.2
 # A target reports early when a run ends, but not when a long-running task begins to serve. Until
 # that is known, no other task of its step may be made unavailable.
@@ -89,7 +90,7 @@
         except TargetReplacedError as error:
             log.info('target %s: replaced, its link and its runs end: %s', target_id, error)
             self._record.leaving = True
-            self._state.requeue_runs(self._record, self._clock.read_monotonic_s())
+            self._state.end_incarnation(self._record, self._clock.read_monotonic_s())
             self._submit_orders([])
         finally:
             with trio.CancelScope(shield=True), trio.move_on_after(0.1):
@@ -223,7 +224,7 @@
                 record.entry.target_id,
                 len(record.runs),
             )
-            self._state.requeue_runs(record, now_s)
+            self._state.lapse_runs(record, now_s)
             self._submit_orders([])
         return not record.leaving
 
@@ -250,7 +251,8 @@
             return 0
         if record.applied_number > record.stored_number:
             return 0
-        if any(run.state is not RunState.RUNNING for run in record.runs.values()):
+        unconfirmed = any(run.state is not RunState.RUNNING for run in record.runs.values())
+        if unconfirmed or record.has_open_suspect():
             return int(UNCONFIRMED_WAIT_S * MS_PER_S)
         if any(run.long_running and not run.at_work for run in record.runs.values()):
             return int(WARM_UP_WAIT_S * MS_PER_S)
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -18,7 +18,9 @@
     have certainly lapsed. `in_registry` is set while the stored target registry names the target,
     without which nothing may be started on it. `due` marks a VM of an open maintenance wave.
     `silent` is set while the target gives no answer, `leaving` once its entry is gone or replaced,
-    and `emptying` while its VM is being drained for an order.
+    and `emptying` while its VM is being drained for an order. `heard_s` is when it last replied.
+    `lapsed_runs` are those whose lease ended while it was silent: whether it has crashed or was only
+    cut off shows when it replies again.
     """
 
     entry: TargetEntry
@@ -37,6 +39,8 @@
     consecutive_failures: int = 0
     leaving: bool = False
     emptying: bool = False
+    heard_s: float = 0
+    lapsed_runs: tuple[RunRecord, ...] = ()
 
     @property
     def free(self) -> Resources:
@@ -45,7 +49,15 @@
 
     def may_start(self, now_s: float) -> bool:
         """Return whether a run may be started on the target at this moment."""
-        return self.in_registry and self.is_usable(now_s)
+        return self.in_registry and self.is_usable(now_s) and not self.has_open_suspect()
+
+    def has_open_suspect(self) -> bool:
+        """Return whether a task that may crash the target has not made progress there yet."""
+        return any(run.suspect and not run.shows_progress for run in self.runs.values())
+
+    def has_runs_without_progress(self) -> bool:
+        """Return whether there is a run of which no report has shown progress."""
+        return not all(run.shows_progress for run in self.runs.values())
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether the target could take a run at this moment if the registry names it."""
--- /dev/null
+++ b/tests/decisions/test_crash_blame.py
@@ -0,0 +1,93 @@
+"""Which tasks are blamed for the crash of a target, and which are given up."""
+
+import pytest
+
+from comfreywind.decisions.scheduling.crash_blame import (
+    BLAME_WINDOW_S,
+    CRASH_LIMIT,
+    UNCERTAIN_CRASH_LIMIT,
+    CrashVerdict,
+    LostRun,
+    StartEvidence,
+    judge_crash,
+)
+from comfreywind.jobs.task_key import TaskKey
+
+KEYS = tuple(TaskKey('00000000000000a1', 0, 0, number) for number in range(3))
+ACKNOWLEDGED, DISCONNECTED, PROGRESS = (
+    StartEvidence.ACKNOWLEDGED,
+    StartEvidence.DISCONNECTED,
+    StartEvidence.PROGRESS,
+)
+# The users' rule: a task may not be started three times more after three crashes.
+CRASHES_ALLOWED = 3 + 3 - 1
+
+
+def lost(
+    number: int, evidence: StartEvidence = ACKNOWLEDGED, age_s: float = 0.1, count: int = 0
+) -> LostRun:
+    """Return a run that was lost with its target."""
+    return LostRun(KEYS[number], evidence, age_s, count)
+
+
+def verdict(number: int, count: int, suspect: bool = False, given_up: bool = False) -> CrashVerdict:
+    """Return a verdict on the run of that number."""
+    return CrashVerdict(KEYS[number], count, suspect, given_up)
+
+
+@pytest.mark.parametrize(
+    ('runs', 'verdicts'),
+    [
+        ([], []),
+        ([lost(0)], [verdict(0, 1, suspect=True)]),
+        ([lost(0, count=1)], [verdict(0, 2, suspect=True, given_up=True)]),
+        ([lost(0, age_s=-1, count=1)], [verdict(0, 2, suspect=True, given_up=True)]),
+        (
+            [lost(0, count=1), lost(1)],
+            [verdict(0, 2, suspect=True), verdict(1, 1, suspect=True)],
+        ),
+        (
+            [lost(0, count=1), lost(1, PROGRESS, count=1)],
+            [verdict(0, 2, suspect=True, given_up=True), verdict(1, 1)],
+        ),
+        ([lost(0, DISCONNECTED, count=1)], [verdict(0, 2, suspect=True, given_up=True)]),
+        (
+            [lost(0, DISCONNECTED, count=1), lost(1, DISCONNECTED)],
+            [verdict(0, 1, suspect=True), verdict(1, 0, suspect=True)],
+        ),
+        ([lost(0, StartEvidence.NONE, count=1)], [verdict(0, 1, suspect=True)]),
+        ([lost(0, PROGRESS), lost(1, PROGRESS, count=1)], [verdict(0, 1), verdict(1, 2)]),
+        (
+            [lost(0, PROGRESS, count=UNCERTAIN_CRASH_LIMIT - 1)],
+            [verdict(0, UNCERTAIN_CRASH_LIMIT, given_up=True)],
+        ),
+        ([lost(0, PROGRESS, BLAME_WINDOW_S, count=3)], [verdict(0, 0)]),
+        (
+            [lost(0), lost(1, PROGRESS, BLAME_WINDOW_S, count=3)],
+            [verdict(0, 1, suspect=True), verdict(1, 0)],
+        ),
+    ],
+    ids=[
+        'nothing ran',
+        'first crash',
+        'second crash, alone',
+        'started after the last reply',
+        'second crash, with another suspect',
+        'second crash, beside a run with progress',
+        'connection closed by the target, alone',
+        'connections closed by the target',
+        'no reply to the order',
+        'runs with progress',
+        'run with progress, often',
+        'long run',
+        'long run beside a suspect',
+    ],
+)
+def test_judge_crash(runs: list[LostRun], verdicts: list[CrashVerdict]) -> None:
+    """Blames what was just started, and gives up a task only on clear or repeated evidence."""
+    assert judge_crash(runs) == verdicts
+
+
+def test_limits_keep_the_rule() -> None:
+    """A task that is given up was started less often than the users' rule allows."""
+    assert CRASH_LIMIT <= UNCERTAIN_CRASH_LIMIT < CRASHES_ALLOWED
