Wait for the capacity of a new incarnation before starting on it

Checked first: a target whose registration tells a smaller or larger capacity gets starts only within it, beside all that runs or is being stopped (test_starts_within_new_capacity, test_stopping_run_counts; both passed before). Cause found: a target that restarts under its id may report as the new incarnation before its new registration has been read; its record then had the capacity of the one before, with nothing running. Class: a record that mixes the state of two incarnations.

Change: nothing is started until the registration tells the incarnation that reports. One that tells no incarnation is taken as current.

--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -49,7 +49,8 @@
 
     def may_start(self, now_s: float) -> bool:
         """Return whether a run may be started on the target at this moment."""
-        return self.in_registry and self.is_usable(now_s) and not self.has_open_suspect()
+        accepts_starts = self._has_current_capacity() and not self.has_open_suspect()
+        return self.in_registry and self.is_usable(now_s) and accepts_starts
 
     def has_open_suspect(self) -> bool:
         """Return whether a task that may crash the target has not made progress there yet."""
@@ -91,3 +92,12 @@
         self.emptying = False
         for run in self.runs.values():
             run.ending = run.state is RunState.STOPPING
+
+    def _has_current_capacity(self) -> bool:
+        """Return whether the known capacity is that of the incarnation that reports.
+
+        A restarted target may have another capacity, which only its registration tells. A
+        registration that doesn't tell its incarnation is taken as current.
+        """
+        known_ms = self.entry.incarnation_start_ms
+        return not known_ms or known_ms >= self.incarnation_start_ms
--- a/tests/helpers/scheduler_harness.py
+++ b/tests/helpers/scheduler_harness.py
@@ -98,6 +98,19 @@
         record = self.scheduler_state.targets[target]
         return self.scheduler_state.apply_report(record, report, self.now_s, self.now_s)
 
+    def register(self, target: str, incarnation_start_ms: int) -> None:
+        """Let an incarnation of a target register with the capacity of the one before."""
+        entry = self.scheduler_state.targets[target].entry
+        changed = replace(entry, incarnation_start_ms=incarnation_start_ms)
+        self.scheduler_state.register_target(changed, self.now_s)
+
+    def restart(self, target: str) -> None:
+        """Let a target crash, register again and report that nothing runs on it."""
+        record = self.scheduler_state.targets[target]
+        incarnation_start_ms = record.incarnation_start_ms + 1
+        self.register(target, incarnation_start_ms)
+        self.report(target, incarnation_start_ms=incarnation_start_ms)
+
     def end(self, order: StartOrder, outcome: RunOutcome) -> list[Order]:
         """Let the target of a start report the end of this run and its other runs as active."""
         others = tuple(
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -200,6 +200,8 @@
     harness.add_job()
     harness.start()
     harness.report('t0', incarnation_start_ms=2)
+    assert KEY in harness.scheduler_state.jobs[JOB_ID].waiting
+    harness.register('t0', incarnation_start_ms=2)
     (again,) = harness.start()
     assert again.run_id == 2
 
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -60,7 +60,7 @@
         if self._seen_before_crash:
             self._report(target_id, started, [])
         self._incarnations[target_id] += 1
-        self.rig.report(target_id, incarnation_start_ms=self._incarnations[target_id])
+        self.rig.restart(target_id)
 
     def _report(
         self,
@@ -114,7 +114,7 @@
     rig = SchedulerHarness(2)
     rig.add_job(make_job(Step(1, Resources(500, 100)), job_id=DEADLY_JOB))
     (order,) = rig.start()
-    rig.report(order.target_id, incarnation_start_ms=2)
+    rig.restart(order.target_id)
     busy_job = rig.add_job(make_job(Step(1, Resources(500, 100)), job_id=INNOCENT_JOBS[0]))
     starts = {each.key.job_id: each for each in rig.start()}
     suspect = starts[DEADLY_JOB]
@@ -126,12 +126,6 @@
     assert [each.target_id for each in rig.start()] == [suspect.target_id]
 
 
-def crash(rig: SchedulerHarness, target_id: str) -> None:
-    """Let the target report as a new incarnation that runs nothing."""
-    record = rig.scheduler_state.targets[target_id]
-    rig.report(target_id, incarnation_start_ms=record.incarnation_start_ms + 1)
-
-
 def lapse(rig: SchedulerHarness, target_id: str) -> None:
     """Let the target be silent until its leases have ended."""
     rig.scheduler_state.lapse_runs(rig.scheduler_state.targets[target_id], rig.now_s)
@@ -145,11 +139,11 @@
 @pytest.mark.parametrize(
     ('steps', 'crash_count'),
     [
-        ((crash,), 1),
-        ((drain, crash), 0),
+        ((SchedulerHarness.restart,), 1),
+        ((drain, SchedulerHarness.restart), 0),
         ((lapse,), 0),
-        ((lapse, crash), 1),
-        ((lapse, SchedulerHarness.report, crash), 0),
+        ((lapse, SchedulerHarness.restart), 1),
+        ((lapse, SchedulerHarness.report, SchedulerHarness.restart), 0),
     ],
     ids=['crash', 'VM ordered down', 'cut off', 'crash in silence', 'cut off, then another crash'],
 )
