Count runs that a new holder stops against their target and team

Cause: a new holder that finds a run of a job that was cancelled or has ended adopts it to stop it, without the resources it takes. Until the stop is confirmed, up to the users' stop_grace_ms, its capacity counted as free; on a target that does not guard its capacity a start could go over it, and over the ceiling of the team. Class: what is being stopped counts as gone.

Change: such a run reserves what its task requests. A run of a job that is not known at all reserves nothing, as before, because what it takes is not known; blocking the target for it would let one odd report stop scheduling there (test_end_of_no_task). That case stays open.

Test: test_unneeded_run_counts_until_stopped failed before (two starts instead of one) and passes.

--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -500,7 +500,9 @@
                 run_id,
                 target.entry.target_id,
             )
-            run = _make_adopted_run(target, key, run_id, now_s, Step(1, NO_RESOURCES), '')
+            run = _make_adopted_run(
+                target, key, run_id, now_s, *_describe_unneeded_run(record, key)
+            )
             self.add_run(run, None)
             return self.stop_run(run, now_s)
         step = record.job.steps[key.step]
@@ -612,6 +614,16 @@
     return record.open and not record.is_done(key)
 
 
+def _describe_unneeded_run(record: JobRecord | None, key: TaskKey) -> tuple[Step, str]:
+    """Return the step and the team of a run, which takes capacity until it has been stopped.
+
+    What a run of an unknown task takes is unknown too, and counted as nothing.
+    """
+    if record is None or not record.has_task(key):
+        return Step(1, NO_RESOURCES), ''
+    return record.job.steps[key.step], record.job.team
+
+
 def _make_adopted_run(
     target: TargetRecord, key: TaskKey, run_id: int, now_s: float, step: Step, team: str
 ) -> RunRecord:
--- a/tests/scheduling/test_changing_capacity.py
+++ b/tests/scheduling/test_changing_capacity.py
@@ -7,7 +7,8 @@
 from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.run_report import RunOutcome
 from comfreywind.jobs.step import Step
-from tests.helpers.scheduler_harness import SchedulerHarness, make_job
+from comfreywind.jobs.task_key import TaskKey
+from tests.helpers.scheduler_harness import TEAM, SchedulerHarness, make_job
 
 TASK = Step(1, Resources(1000, 100))
 
@@ -71,3 +72,20 @@
     set_capacity(rig, 4000, incarnation_start_ms=0)
     rig.report('t0', incarnation_start_ms=2)
     assert count_starts(rig, 1) == 1
+
+
+# Guards against starts beyond the capacity of a target on which a new holder stops runs that are
+# not needed any more (LIMIT): these were adopted without the resources that they still take.
+def test_unneeded_run_counts_until_stopped() -> None:
+    """Counts a run of an earlier holder that is being stopped against target and team."""
+    rig = SchedulerHarness(1, epoch=2)
+    job = rig.add_job(make_job(replace(TASK, request=Resources(3000, 100))))
+    rig.scheduler_state.cancel_job(job.job_id)
+    key = TaskKey(job.job_id, 0, 0, 0)
+    rig.report('t0', ((key, 1),))
+    assert count_starts(rig, 2) == 1
+    assert rig.scheduler_state.team_usage[TEAM] == Resources(4000, 200)
+    (started,) = (run for run in rig.scheduler_state.targets['t0'].runs.values() if run.key != key)
+    rig.report('t0', ((started.key, started.run_id),), ((key, 1, RunOutcome.STOPPED),))
+    assert len(rig.start()) == 1
+    assert rig.scheduler_state.team_usage[TEAM] == Resources(2000, 200)
