Skip odd entries of other writers and odd replies in every reader

Before, with the tests of this commit (30 of them failed): a registration with a number of 400 digits in capacity, remaining_ms, cold_left_ms or born was taken, and dividing it raises OverflowError where pools are sized, a task that would start again and again every second; a capacity below 0 and port 0 were taken as well. Deep nesting of a registration, a port of 70,000 and bytes that can't be read were ignored with a log line before. Other readers: a reply nested 100,000 deep raised RecursionError, which nothing names, in every client of a service; a list of VMs with one odd VM was lost as a whole, and the task that reads it ended; replies of the advice service and rows of nodes, of the term and of waves with infinite numbers or fields of another type raised what their readers don't handle.

Cause and class: what another program writes was trusted in its amounts, and decoding errors were named one by one at each reader.

One odd VM costs its own entry. A row of the term with a field of another type, or a term above 60 s, counts as unreadable, so that nodes can take it over.

--- a/comfreywind/http/asgi_body.py
+++ b/comfreywind/http/asgi_body.py
@@ -1,10 +1,10 @@
 """Reads request bodies within a limit."""
 
-import json
 from typing import Any
 
 from comfreywind.errors import ComfreywindError
 from comfreywind.http.asgi_types import Receive
+from comfreywind.http.json_body import parse_json
 
 
 class BodyTooLargeError(ComfreywindError):
@@ -43,7 +43,7 @@
     """Return the body as a JSON object; raise BodyMalformedError for anything else."""
     body = await read_body(receive, limit_bytes)
     try:
-        document = json.loads(body or b'{}')
+        document = parse_json(body or b'{}')
     except ValueError as error:
         raise BodyMalformedError(f'the body is not JSON: {error}') from error
     if not isinstance(document, dict):
--- a/comfreywind/http/client.py
+++ b/comfreywind/http/client.py
@@ -11,6 +11,7 @@
 
 from comfreywind.errors import CallNotPermittedError
 from comfreywind.http.buffered_stream import connect
+from comfreywind.http.json_body import parse_json
 from comfreywind.settings.address import Address
 
 HeaderItems = list[tuple[bytes, bytes]]
@@ -38,8 +39,8 @@
         return b''
 
     def read_json(self) -> Any:
-        """Return the body parsed as JSON; raise ValueError when it is not JSON."""
-        return json.loads(self.body)
+        """Return the body parsed as JSON; raise ValueError if it isn't JSON or nested too deeply."""
+        return parse_json(self.body)
 
 
 @dataclass(slots=True)
--- a/comfreywind/platform/advice_client.py
+++ b/comfreywind/platform/advice_client.py
@@ -2,7 +2,7 @@
 
 from comfreywind.errors import StoreUnavailableError
 from comfreywind.http.client import HttpClient
-from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.store_call import CALL_FAILURES, DECODING_ERRORS
 from comfreywind.settings.address import Address
 
 # Covers the wait for earlier calls and the decision, whose duration grows with the number of
@@ -21,7 +21,8 @@
     async def request_tickets(self, step_id: str, target_ids: list[str]) -> dict[str, str]:
         """Return a ticket for each of the targets that may run the step, by target id.
 
-        Raises StoreUnavailableError without a reply or with a status other than 200.
+        Raises StoreUnavailableError without a reply that can be read, or with a status other than
+        200.
         """
         request = {'step_id': step_id, 'workers': target_ids}
         try:
@@ -30,4 +31,9 @@
             raise StoreUnavailableError(f'advice on step {step_id}: no reply: {error!r}') from error
         if reply.status != STATUS_OK:
             raise StoreUnavailableError(f'advice on step {step_id}: status {reply.status}')
-        return {str(row[0]): str(row[1]) for row in reply.read_json()['approved']}
+        try:
+            return {str(row[0]): str(row[1]) for row in reply.read_json()['approved']}
+        except DECODING_ERRORS as error:
+            raise StoreUnavailableError(
+                f"advice on step {step_id} can't be decoded: {error!r}"
+            ) from error
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -23,7 +23,7 @@
 from comfreywind.http.service_contact import ServiceContact
 from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.concurrent_calls import run_concurrently
-from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.store_call import CALL_FAILURES, DECODING_ERRORS
 from comfreywind.platform.store_time import StoreTime
 from comfreywind.platform.stored_row import RowChange, RowPage, StoredRow
 from comfreywind.settings.address import Address
@@ -253,7 +253,7 @@
     """
     try:
         yield
-    except (ValueError, TypeError, LookupError) as error:
+    except DECODING_ERRORS as error:
         raise StoreUnavailableError(f"reply of the store can't be decoded: {error!r}") from error
 
 
--- a/comfreywind/platform/store_call.py
+++ b/comfreywind/platform/store_call.py
@@ -15,6 +15,8 @@
     trio.TooSlowError,
     OSError,
 )
+# What decoding a reply in an unexpected form raises.
+DECODING_ERRORS = (ValueError, LookupError, TypeError, ArithmeticError, AttributeError)
 
 
 async def call_store(
--- a/comfreywind/platform/target_client.py
+++ b/comfreywind/platform/target_client.py
@@ -1,6 +1,5 @@
 """Client of one target: starts, stops and paces its runs, and extends their lease."""
 
-import json
 import logging
 from typing import Any
 
@@ -12,7 +11,7 @@
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.jobs.task_key import TaskKey, parse_task_key
-from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.store_call import CALL_FAILURES, DECODING_ERRORS
 from comfreywind.platform.wire import HEADER_INSTANCE
 from comfreywind.settings.address import Address
 
@@ -39,8 +38,6 @@
     'room': StartAnswer.NO_ROOM,
     'ticket': StartAnswer.NO_TICKET,
 }
-# What decoding a report in an unexpected form raises.
-REPORT_ERRORS = (ValueError, LookupError, TypeError, ArithmeticError, AttributeError)
 
 log = logging.getLogger('comfreywind.targets')
 
@@ -199,8 +196,8 @@
 
 def _decode_report(reply: HttpReply) -> TargetReport:
     try:
-        return _make_report(json.loads(reply.body))
-    except REPORT_ERRORS as error:
+        return _make_report(reply.read_json())
+    except DECODING_ERRORS as error:
         raise TargetSilentError(
             f"hold: report of the target can't be decoded: {error!r}"
         ) from error
--- a/comfreywind/platform/target_codec.py
+++ b/comfreywind/platform/target_codec.py
@@ -4,8 +4,9 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from comfreywind.jobs.job_limits import TIME_LIMIT_MS
 from comfreywind.jobs.target_entry import TargetEntry
-from comfreywind.platform.amounts import Amounts
+from comfreywind.platform.amounts import Capacity
 from comfreywind.settings.address import AddressField
 
 STATES = frozenset(('ready', 'draining'))
@@ -20,11 +21,11 @@
     address: AddressField
     zone: str
     state: str
-    capacity: Amounts
+    capacity: Capacity
     labels: list[str] = Field(default_factory=list)
-    born: int = 0
-    cold_left_ms: int = 0
-    remaining_ms: int | None = None
+    born: int = Field(default=0, ge=0, le=TIME_LIMIT_MS)
+    cold_left_ms: int = Field(default=0, ge=-TIME_LIMIT_MS, le=TIME_LIMIT_MS)
+    remaining_ms: int | None = Field(default=None, ge=-TIME_LIMIT_MS, le=TIME_LIMIT_MS)
 
 
 def decode_target(target_id: str, payload: bytes) -> TargetEntry | None:
@@ -38,6 +39,9 @@
             error.errors()[:2],
         )
         return None
+    if not registration.address.port:
+        log.info('registration of target %s is ignored: its port is 0', target_id)
+        return None
     if registration.state not in STATES:
         log.info(
             "registration of target %s is ignored: state %r is not 'ready' or 'draining'",
--- a/comfreywind/platform/vm_client.py
+++ b/comfreywind/platform/vm_client.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 from functools import partial
 from typing import Any
+from urllib.parse import quote
 
 from comfreywind.errors import CallNotPermittedError, StoreUnavailableError
 from comfreywind.http.client import HttpClient
 from comfreywind.jobs.vm import Vm
-from comfreywind.platform.amounts import Amounts
-from comfreywind.platform.store_call import CALL_FAILURES
+from comfreywind.platform.amounts import Capacity
+from comfreywind.platform.store_call import CALL_FAILURES, DECODING_ERRORS
 from comfreywind.platform.wire import HEADER_FENCE, HEADER_HOLDER
 from comfreywind.settings.address import Address
 
@@ -48,9 +49,8 @@
         token: str | None = ''
         while token is not None:
             query = f'?page_token={token}' if token else ''
-            document = await self._read(f'/v1/machines{query}')
-            vms.extend(_decode_vm(machine) for machine in document['machines'])
-            token = document.get('next_token') or None
+            page, token = await self._read_page(f'/v1/machines{query}')
+            vms.extend(page)
         return vms
 
     async def move(self, vm: str, pool: str, holder: str, fence: int) -> VmOrderAnswer:
@@ -62,15 +62,20 @@
         order = {'machine': vm, 'rollout_wave': wave}
         return await self._order('/v1/machine-upkeep', order, holder, fence)
 
-    async def _read(self, path: str) -> dict[str, Any]:
+    async def _read_page(self, path: str) -> tuple[list[Vm], str | None]:
+        """Return the VMs of a page and the token of the next one; odd VMs are skipped."""
         try:
             reply = await self._client.call('GET', path)
         except CALL_FAILURES as error:
             raise StoreUnavailableError(f'list of VMs: no reply: {error!r}') from error
         if reply.status != STATUS_OK:
             raise StoreUnavailableError(f'list of VMs: status {reply.status}')
-        document: dict[str, Any] = reply.read_json()
-        return document
+        try:
+            machines, token = _split_page(reply.read_json())
+        except DECODING_ERRORS as error:
+            raise StoreUnavailableError(f"list of VMs can't be decoded: {error!r}") from error
+        vms = [vm for machine in machines if (vm := _decode_vm(machine)) is not None]
+        return vms, quote(str(token), safe='') if token else None
 
     async def _order(
         self, path: str, order: dict[str, Any], holder: str, fence: int
@@ -97,14 +102,27 @@
         return VmOrderAnswer.REFUSED
 
 
-def _decode_vm(machine: dict[str, Any]) -> Vm:
+def _split_page(document: dict[str, Any]) -> tuple[list[Any], object]:
+    return list(document['machines']), document.get('next_token')
+
+
+def _decode_vm(machine: dict[str, Any]) -> Vm | None:
+    """Return the VM, or None, and log it, when its entry can't be read."""
+    try:
+        return _make_vm(machine)
+    except DECODING_ERRORS as error:
+        log.info('VM of the list is ignored, its entry is %.80r: %r', machine, error)
+        return None
+
+
+def _make_vm(machine: dict[str, Any]) -> Vm:
     return Vm(
         name=str(machine['machine']),
         pool=str(machine['pool']),
         up=machine['state'] == 'up',
         data_centre=str(machine.get('zone', '')),
         labels=frozenset(machine.get('labels') or ()),
-        capacity=Amounts.model_validate(machine.get('capacity') or {}).to_resources(),
+        capacity=Capacity.model_validate(machine.get('capacity') or {}).to_resources(),
         target_id=str(machine.get('id') or ''),
         in_maintenance=machine['state'] == 'upkeep',
     )
--- a/comfreywind/platform/wave_codec.py
+++ b/comfreywind/platform/wave_codec.py
@@ -5,6 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from comfreywind.jobs.job_limits import AMOUNT_LIMIT
 from comfreywind.jobs.maintenance_wave import MaintenanceWave
 
 log = logging.getLogger('comfreywind.upkeep')
@@ -13,10 +14,10 @@
 class _Wave(BaseModel):
     model_config = ConfigDict(extra='ignore', frozen=True)
 
-    rollout_wave: int
+    rollout_wave: int = Field(ge=-AMOUNT_LIMIT, le=AMOUNT_LIMIT)
     machines: list[str] = Field(default_factory=list)
-    duration_s: float = 0
-    cap: int = 1
+    duration_s: float = Field(default=0, ge=0, le=AMOUNT_LIMIT)
+    cap: int = Field(default=1, ge=0, le=AMOUNT_LIMIT)
 
 
 def decode_wave(payload: bytes) -> MaintenanceWave | None:
--- a/comfreywind/scheduling/term_row.py
+++ b/comfreywind/scheduling/term_row.py
@@ -1,11 +1,16 @@
 """The lease row of the term, with the figures that all nodes read from it, and the registry row."""
 
+import math
 from dataclasses import astuple, dataclass, field
 
 import msgpack
 
 from comfreywind.jobs.row_format import RowFormatError, wrap_row_errors
 
+FIELD_TYPES = {'holder': str, 'epoch': int, 'renewal': int, 'pending': dict, 'refused': dict}
+# Far above the terms that holders take; a longer one would keep all nodes from taking over.
+MAX_TERM_S = 60
+
 
 @dataclass(frozen=True, slots=True)
 class TermRow:
@@ -38,11 +43,20 @@
     """Return the lease row; raise RowFormatError when the payload can't be read."""
     with wrap_row_errors('row of the term'):
         row = TermRow(*msgpack.unpackb(payload))
-    if not isinstance(row.epoch, int) or not isinstance(row.renewal, int):
-        raise RowFormatError('row of the term: epoch and renewal must be integers')
+        _check_term(row)
     return row
 
 
+def _check_term(row: TermRow) -> None:
+    """Raise RowFormatError for a field of another type, or a term that no holder would take."""
+    for name, kind in FIELD_TYPES.items():
+        if not isinstance(getattr(row, name), kind):
+            raise RowFormatError(f'row of the term: {name} must be of type {kind.__name__}')
+    times_are_finite = all(map(math.isfinite, (row.term_s, row.renewed_ms, row.started_ms)))
+    if not times_are_finite or not 0 <= row.term_s <= MAX_TERM_S:
+        raise RowFormatError(f'row of the term: a term lasts up to {MAX_TERM_S} s')
+
+
 def encode_registry(target_ids: frozenset[str]) -> bytes:
     """Return the payload of the registry row, which names the targets that may have runs."""
     packed: bytes = msgpack.packb(sorted(target_ids))
