--- /dev/null
+++ b/comfreywind/scheduling/crash_accounting.py
@@ -0,0 +1,52 @@
+"""Counts the crash of a target against the tasks that ran there."""
+
+import logging
+from collections.abc import Iterable, Iterator, Mapping
+
+from comfreywind.decisions.scheduling.crash_blame import CrashVerdict, LostRun, judge_crash
+from comfreywind.scheduling.job_record import JobRecord
+from comfreywind.scheduling.run_record import RunRecord
+from comfreywind.scheduling.target_record import TargetRecord
+
+log = logging.getLogger('comfreywind.board')
+
+
+def count_crash(
+    jobs: Mapping[str, JobRecord], target: TargetRecord, lost: Iterable[RunRecord]
+) -> Iterator[tuple[JobRecord, bool]]:
+    """Record the verdicts on the tasks of the runs that were lost.
+
+    Yields each job whose stored progress has changed, and whether it is to be given up.
+    """
+    runs = [
+        LostRun(
+            run.key,
+            run.evidence,
+            target.heard_s - run.started_s,
+            jobs[run.key.job_id].get_crash_count(run.key),
+        )
+        for run in lost
+        if run.key.job_id in jobs
+    ]
+    for verdict in judge_crash(runs):
+        record = jobs[verdict.key.job_id]
+        if record.open and _record_verdict(record, target, verdict):
+            yield record, verdict.given_up
+
+
+def _record_verdict(record: JobRecord, target: TargetRecord, verdict: CrashVerdict) -> bool:
+    """Record a verdict; return whether the count of crashes has changed."""
+    key = verdict.key
+    if verdict.suspect:
+        record.suspects.add(key)
+    if verdict.crash_count == record.get_crash_count(key):
+        return False
+    record.set_crash_count(key, verdict.crash_count)
+    log.info(
+        'task %s: blamed for %d crashes of targets, the last of %s%s',
+        key,
+        verdict.crash_count,
+        target.entry.target_id,
+        '; given up' if verdict.given_up else '',
+    )
+    return True
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -8,14 +8,8 @@
 import logging
 from collections.abc import Iterable
 
-from comfreywind.decisions.scheduling.crash_blame import (
-    CrashVerdict,
-    LostRun,
-    StartEvidence,
-    judge_crash,
-)
+from comfreywind.decisions.scheduling.crash_blame import StartEvidence
 from comfreywind.decisions.scheduling.pace import choose_pace
-from comfreywind.decisions.scheduling.placement import compute_effective_request
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
@@ -23,9 +17,14 @@
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
-from comfreywind.jobs.step import Step
 from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.jobs.task_key import TaskKey
+from comfreywind.scheduling.adopted_run import (
+    describe_unneeded_run,
+    make_adopted_run,
+    should_run,
+)
+from comfreywind.scheduling.crash_accounting import count_crash
 from comfreywind.scheduling.job_record import JobRecord
 from comfreywind.scheduling.orders import Order, PaceOrder, StartOrder, StopOrder
 from comfreywind.scheduling.run_record import RunRecord, RunState
@@ -439,41 +438,11 @@
         self.mark_changed(record)
 
     def _apply_crash(self, target: TargetRecord, lost: Iterable[RunRecord]) -> None:
-        runs = [
-            LostRun(
-                run.key,
-                run.evidence,
-                target.heard_s - run.started_s,
-                record.get_crash_count(run.key),
-            )
-            for run in lost
-            if (record := self.jobs.get(run.key.job_id)) is not None
-        ]
-        for verdict in judge_crash(runs):
-            self._apply_verdict(self.jobs[verdict.key.job_id], target, verdict)
-
-    def _apply_verdict(
-        self, record: JobRecord, target: TargetRecord, verdict: CrashVerdict
-    ) -> None:
-        key = verdict.key
-        if not record.open:
-            return
-        if verdict.suspect:
-            record.suspects.add(key)
-        if verdict.crash_count == record.get_crash_count(key):
-            return
-        record.set_crash_count(key, verdict.crash_count)
-        self.mark_changed(record)
-        log.info(
-            'task %s: blamed for %d crashes of targets, the last of %s%s',
-            key,
-            verdict.crash_count,
-            target.entry.target_id,
-            '; given up' if verdict.given_up else '',
-        )
-        if verdict.given_up:
-            record.progress.state = JobState.FAILED
-            self._close_job(record)
+        for record, given_up in count_crash(self.jobs, target, lost):
+            self.mark_changed(record)
+            if given_up and record.open:
+                record.progress.state = JobState.FAILED
+                self._close_job(record)
 
     def _apply_active(
         self, target: TargetRecord, key: TaskKey, run_id: int, now_s: float
@@ -493,20 +462,19 @@
     ) -> list[Order]:
         """Record a run that an earlier holder started, and stop it when it should not run."""
         record = self.jobs.get(key.job_id)
-        if record is None or not _should_run(record, key):
+        if record is None or not should_run(record, key):
             log.info(
                 'task %s run %d: not needed on target %s; it is stopped',
                 key,
                 run_id,
                 target.entry.target_id,
             )
-            run = _make_adopted_run(
-                target, key, run_id, now_s, *_describe_unneeded_run(record, key)
-            )
+            step, team = describe_unneeded_run(record, key)
+            run = make_adopted_run(target, key, run_id, now_s, step, team)
             self.add_run(run, None)
             return self.stop_run(run, now_s)
         step = record.job.steps[key.step]
-        self.add_run(_make_adopted_run(target, key, run_id, now_s, step, record.job.team), record)
+        self.add_run(make_adopted_run(target, key, run_id, now_s, step, record.job.team), record)
         record.last_run_ids[key] = max(run_id, record.last_run_ids.get(key, 0))
         record.waiting.pop(key, None)
         return []
@@ -606,38 +574,3 @@
     if active.progress_percent > run.progress_percent or not run.last_progress_s:
         run.progress_percent = active.progress_percent
         run.last_progress_s = now_s
-
-
-def _should_run(record: JobRecord, key: TaskKey) -> bool:
-    if not record.has_task(key) or key in record.runs:
-        return False
-    return record.open and not record.is_done(key)
-
-
-def _describe_unneeded_run(record: JobRecord | None, key: TaskKey) -> tuple[Step, str]:
-    """Return the step and the team of a run, which takes capacity until it has been stopped.
-
-    What a run of an unknown task takes is unknown too, and counted as nothing.
-    """
-    if record is None or not record.has_task(key):
-        return Step(1, NO_RESOURCES), ''
-    return record.job.steps[key.step], record.job.team
-
-
-def _make_adopted_run(
-    target: TargetRecord, key: TaskKey, run_id: int, now_s: float, step: Step, team: str
-) -> RunRecord:
-    return RunRecord(
-        key,
-        run_id,
-        target.entry.target_id,
-        team,
-        compute_effective_request(step),
-        step.request,
-        RunState.RUNNING,
-        now_s,
-        now_s,
-        tail_latency_limit_ms=step.tail_latency_limit_ms,
-        best_effort=step.best_effort,
-        long_running=step.long_running,
-    )
