Blame no finished task for a crash, and start gangs after one

Cause: a run whose lease had lapsed in silence is blamed when its target returns as a new incarnation; its task may be done elsewhere by then, and a second crash could have given up the job. Members of a gang were kept apart like other suspects, so a gang with more members than targets never started again after a crash. Besides, each check of a target for a suspect looked at all its runs.

Change: done tasks are left out; members of a gang are not kept apart, so a gang is given up after four crashes at most; a target keeps the keys of its suspects.

Tests: test_done_task_is_not_blamed and test_gang_starts_after_crash failed before.

Tried and not kept: suspects before other work in each plan, as a target is free of new runs only after a report.

--- a/comfreywind/scheduling/crash_accounting.py
+++ b/comfreywind/scheduling/crash_accounting.py
@@ -26,7 +26,7 @@
             jobs[run.key.job_id].get_crash_count(run.key),
         )
         for run in lost
-        if run.key.job_id in jobs
+        if _is_still_needed(jobs, run)
     ]
     for verdict in judge_crash(runs):
         record = jobs[verdict.key.job_id]
@@ -34,6 +34,12 @@
             yield record, verdict.given_up
 
 
+def _is_still_needed(jobs: Mapping[str, JobRecord], run: RunRecord) -> bool:
+    """Return whether the task of the run is open; one that lapsed may be done elsewhere by now."""
+    record = jobs.get(run.key.job_id)
+    return record is not None and record.open and not record.is_done(run.key)
+
+
 def _record_verdict(record: JobRecord, target: TargetRecord, verdict: CrashVerdict) -> bool:
     """Record a verdict; return whether the count of crashes has changed."""
     key = verdict.key
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -304,7 +304,8 @@
             tail_latency_limit_ms=step.tail_latency_limit_ms,
             best_effort=step.best_effort,
             long_running=step.long_running,
-            suspect=key in record.suspects,
+            # The members of a gang need targets at the same time, so they are not kept apart.
+            suspect=key in record.suspects and not step.gang,
         )
         self._state.add_run(run, record)
 
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -12,6 +12,8 @@
 class TargetRecord:
     """The runs and the availability of a target, with times on the holder's steady clock.
 
+    `suspects` are the runs of tasks that may crash the target.
+
     The target numbers the ends of its runs. `applied_number` is the highest end applied to the
     scheduler state, `stored_number` the highest whose effects are stored, and `acknowledged_number`
     the highest that was acknowledged to the target. `lease_end_s` is when all runs on the target
@@ -25,6 +27,7 @@
 
     entry: TargetEntry
     runs: dict[TaskKey, RunRecord] = field(default_factory=dict)
+    suspects: set[TaskKey] = field(default_factory=set)
     used: Resources = NO_RESOURCES
     incarnation_start_ms: int = 0
     applied_number: int = 0
@@ -54,7 +57,7 @@
 
     def has_open_suspect(self) -> bool:
         """Return whether a task that may crash the target has not made progress there yet."""
-        return any(run.suspect and not run.shows_progress for run in self.runs.values())
+        return any(not self.runs[key].shows_progress for key in self.suspects)
 
     def has_runs_without_progress(self) -> bool:
         """Return whether there is a run of which no report has shown progress."""
@@ -72,12 +75,15 @@
     def add_run(self, run: RunRecord) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
+        if run.suspect:
+            self.suspects.add(run.key)
         self.used = self.used.add(run.reserved)
 
     def remove_run(self, run: RunRecord) -> None:
         """Remove a run and release its resources."""
         if self.runs.get(run.key) is run:
             del self.runs[run.key]
+            self.suspects.discard(run.key)
             self.used = self.used.subtract(run.reserved)
 
     def apply_vm_order(self) -> None:
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -1,6 +1,7 @@
 """Tasks that crash every target that starts them, beside tasks that do not."""
 
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -156,3 +157,30 @@
         step(rig, order.target_id)
     record = rig.scheduler_state.jobs[DEADLY_JOB]
     assert record.get_crash_count(order.key) == crash_count
+
+
+def test_done_task_is_not_blamed() -> None:
+    """Blames no task that was done elsewhere when its silent target turns out to have crashed."""
+    rig = SchedulerHarness(2)
+    later_step = replace(TASK, after=(0,))
+    rig.add_job(make_job(TASK, later_step, job_id=DEADLY_JOB))
+    orders = rig.start()
+    (target_id,) = {order.target_id for order in orders}
+    lapse(rig, target_id)
+    rig.scheduler_state.targets[target_id].silent = True
+    for order in rig.start():
+        rig.end(order, RunOutcome.DONE)
+    rig.restart(target_id)
+    record = rig.scheduler_state.jobs[DEADLY_JOB]
+    assert record.open
+    assert not record.progress.crashes
+
+
+def test_gang_starts_after_crash() -> None:
+    """Starts a gang whose members are suspects, although fewer targets than members are there."""
+    rig = SchedulerHarness(2)
+    rig.add_job(make_job(replace(TASK, gang=True), job_id=DEADLY_JOB))
+    (target_id, *_) = {order.target_id for order in rig.start()}
+    rig.restart(target_id)
+    rig.now_s += 1
+    assert len(rig.start()) == TASK.task_count
