--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -19,8 +19,8 @@
     `waiting` holds the tasks that are ready to start, in order. `unlocked` are the steps, as pairs
     of occurrence and step number, whose tasks became ready, and `open_tasks_by_step` counts the
     tasks of each step that are not done. `unlock_pending` is set while further steps may be
-    unlockable. `suspects` are tasks that may crash their target. `reconciled` is false while a run of an earlier holder may exist that this holder
-    does not know.
+    unlockable. `suspects` are tasks that may crash their target. `reconciled` is false while a run
+    of an earlier holder may exist that this holder does not know.
     """
 
     job: Job
