--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -354,6 +354,7 @@
         # With an advice service: whether a start has a valid ticket.
         self.check_ticket = lambda order: True
         self.requests = {}
+        self.refused = 0
 
     async def start(self):
         """Begin a life: nothing runs, and no fence has been seen."""
@@ -479,6 +480,7 @@
         if run_id <= self.highest.get(task, 0):
             return self._answer(409, {'reason': 'old'})
         if not self.check_ticket(order):
+            self.refused += 1
             return self._answer(409, {'reason': 'ticket'})
         spec = json.loads(order['spec'])
         job, _, step, _ = task.split('.')
