--- a/review/parts-2/executor.py
+++ b/review/parts-2/executor.py
@@ -80,6 +80,7 @@
             return self.answer(409, reason='fence')
         self.fence = fence
         if target == '/v1/run-start':
+            self.note('order', task=order['task_id'], run=order['run_id'])
             # A start takes a little while, as a process has to be made for it.
             await asyncio.sleep(self.options.start_ms / MS)
             if fence < self.fence:
--- a/review/parts-2/harness.py
+++ b/review/parts-2/harness.py
@@ -103,7 +103,7 @@
         self.temporary = tempfile.TemporaryDirectory(prefix='comfreywind-review-')
         self.row_bytes = row_bytes
         self.events, self.nodes, self.executors, self.tasks = [], {}, {}, []
-        self.quiet = set()
+        self.quiet = {'order'}
         self.store = PlatformStore(self.note, row_bytes=row_bytes)
         self.store_port = find_port()
 
