--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """TWICE: an idle executor starts again under its id, and then gets the tasks of a job."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -58,4 +59,4 @@
 
 
 if __name__ == '__main__':
-    run_case(case, FOLDER)
+    run_case(case, FOLDER / 'record.txt', os.environ.get('TROUBLE', '1') != '0')
--- a/review/parts-2/harness.py
+++ b/review/parts-2/harness.py
@@ -96,10 +96,9 @@
 class Fleet:
     """The processes of a case; `events` has what executors did, in order."""
 
-    def __init__(self, folder, row_bytes=65536):
-        self.folder = Path(folder)
+    def __init__(self, record_path, row_bytes=65536):
         self.zero_s = time.monotonic()
-        self.record = (self.folder / 'record.txt').open('w', encoding='utf-8')
+        self.record = Path(record_path).open('w', encoding='utf-8')
         self.temporary = tempfile.TemporaryDirectory(prefix='comfreywind-review-')
         self.row_bytes = row_bytes
         self.events, self.nodes, self.executors, self.tasks = [], {}, {}, []
@@ -265,12 +264,11 @@
         return None
 
 
-def run_case(case, folder, limit_s=115):
+def run_case(case, record_path, trouble, limit_s=115):
     """Run `case(fleet, trouble)`, which returns a list of broken promises; exit with the result."""
 
     async def run():
-        trouble = os.environ.get('TROUBLE', '1') != '0'
-        fleet = Fleet(folder)
+        fleet = Fleet(record_path)
         try:
             fleet.note(f'the case begins, {"with" if trouble else "without"} the disruption')
             async with asyncio.timeout(limit_s):
