Raise the fence of a target that restarts before its runs are queued again

Cause: the first report of a new incarnation made `reset_target` take every run of the record for lost, also those that the new incarnation had been ordered to start. The report shows some of them; orders on their way, and orders that wait for a connection, arrive after it and are carried out, as the new incarnation knows no fence and the header with the id can't tell the two apart.

Ruled out: a poll of idle targets more often, which makes the window smaller only.

Change: the holder has a fence for each target, which it raises when `born` or the clock of a reply shows a restart. What was sent before has no effect in an incarnation that has replied to the raised fence, so its report tells which runs exist; the others are queued again only then, and nothing is started there before. Orders with a former fence that still wait for a connection aren't sent, and their refusal isn't taken for a later holder. The clock of a target belongs to the incarnation now. The same on related paths: runs that are dropped because of a lapsed lease, a VM that is down or a replaced target raise the fence too, and a takeover waits for the report of a target that has restarted.

--- a/comfreywind/lab/emulator.py
+++ b/comfreywind/lab/emulator.py
@@ -11,6 +11,7 @@
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.run_report import EndedRun, RunOutcome
 from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.start_reply import StartReply
 from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.jobs.vm import Vm
@@ -103,7 +104,7 @@
             frozenset((vm.rack,)),
             1,
         )
-        self._state.register_target(entry, self._now_s).in_registry = True
+        self._state.register_target(entry).in_registry = True
         vm.arrival_s = self._now_s
         self._report(vm)
 
@@ -174,11 +175,12 @@
     def _start(self, order: StartOrder) -> None:
         vm = self._by_target[order.target_id]
         if vm.target_id != order.target_id or not vm.up:
-            self._state.apply_start_answer(order, StartAnswer.REPLACED, self._now_s)
+            self._state.apply_start_answer(order, StartReply(StartAnswer.REPLACED), self._now_s)
             self._wake()
             return
         vm.runs[order.key] = order.run_id
-        self._state.apply_start_answer(order, StartAnswer.STARTED, self._now_s)
+        started = StartReply(StartAnswer.STARTED, clock_ms=int(self._now_s * MS_PER_S))
+        self._state.apply_start_answer(order, started, self._now_s)
         arrival = self._arrivals[order.key.job_id]
         work_s = arrival.durations_s[order.key.step][order.key.number]
         self._at(self._now_s + work_s, partial(self._end, vm, order.key, order.run_id))
@@ -195,7 +197,7 @@
         if record is None:
             return
         report = vm.report(int(self._now_s * MS_PER_S))
-        self._send(self._state.apply_report(record, report, self._now_s, self._now_s))
+        self._send(self._state.apply_report(record, report, record.fence, self._now_s, self._now_s))
         # A report may hold several ends of a job, which is complete only once.
         for job_id in dict.fromkeys(ended.key.job_id for ended in report.ended):
             if not self._state.jobs[job_id].open:
--- a/comfreywind/platform/target_client.py
+++ b/comfreywind/platform/target_client.py
@@ -1,6 +1,8 @@
 """Client of one target: starts, stops and paces its runs, and extends their lease."""
 
 import logging
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import httpcore
@@ -10,6 +12,7 @@
 from comfreywind.http.client import HttpClient, HttpReply, Permit
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.start_reply import StartReply
 from comfreywind.jobs.task_key import TaskKey, parse_task_key
 from comfreywind.platform.store_call import CALL_FAILURES, DECODING_ERRORS
 from comfreywind.platform.wire import HEADER_INSTANCE
@@ -45,16 +48,22 @@
 
 
 class TargetClient:
-    """Client of one incarnation of a target.
+    """Client of the target with one id, whichever of its incarnations replies.
 
     Every order carries the holder's fence, and the target refuses orders with a fence below the
-    highest that it has received. `expires_ms` is on the target's own clock.
+    highest that it has received since it started. `expires_ms` is on the target's own clock.
     """
 
-    def __init__(self, target_id: str, address: Address, max_wait_s: float, permit: Permit) -> None:
+    def __init__(
+        self,
+        target_id: str,
+        address: Address,
+        max_wait_s: float,
+        permit: Callable[[int], bool],
+    ) -> None:
         """Prepare clients of the address; hold calls wait up to `max_wait_s` for an ended run.
 
-        Orders are sent only if `permit` returns True just before they are sent.
+        Orders are sent only if `permit` returns True for their fence just before they are sent.
         """
         self._permit = permit
         self._client = HttpClient(address, ORDER_TIMEOUT_S, CONNECTION_LIMIT)
@@ -70,11 +79,11 @@
         expires_ms: int,
         checkpoint: str = '',
         ticket: str = '',
-    ) -> StartAnswer:
+    ) -> StartReply:
         """Order the start of a run under a lease that lasts until `expires_ms` at least.
 
-        Returns UNKNOWN or DISCONNECTED without a usable reply; the target may still start the run
-        then. Returns UNREACHABLE if there was no connection on which to send the order.
+        The answer is UNKNOWN or DISCONNECTED without a usable reply; the target may still start the run
+        then. It is UNREACHABLE if there was no connection on which to send the order.
         """
         order: dict[str, Any] = {
             'task_id': str(key),
@@ -86,21 +95,19 @@
         order.update(
             {name: text for name, text in (('checkpoint', checkpoint), ('ticket', ticket)) if text}
         )
-        permit = _RecordingPermit(self._permit)
+        permit = _RecordingPermit(partial(self._permit, fence))
         try:
             reply = await self._client.call(
                 'POST', '/v1/run-start', order, self._headers, permit.ask
             )
         except CallNotPermittedError as error:
             log.info('start of task %s run %d: order not sent: %s', key, run_id, error)
-            return StartAnswer.EXPIRED
+            return StartReply(StartAnswer.EXPIRED)
         except CALL_FAILURES as error:
             answer = _classify_failure(error, permit.granted)
             log.info('start of task %s run %d: no reply, %s: %r', key, run_id, answer, error)
-            return answer
-        if reply.status != STATUS_CONFLICT:
-            return ANSWERS_BY_STATUS.get(reply.status, StartAnswer.UNKNOWN)
-        return ANSWERS_BY_REASON.get(_read_reason(reply), StartAnswer.UNKNOWN)
+            return StartReply(answer)
+        return _decode_start_reply(reply)
 
     async def stop(self, key: TaskKey, run_id: int, fence: int) -> bool:
         """Order the stop of a run; return whether the target confirmed it."""
@@ -136,7 +143,7 @@
             order['expires_ms'] = expires_ms
         if wait_ms:
             order['wait_ms'] = wait_ms
-        permit = None if expires_ms is None else self._permit
+        permit = None if expires_ms is None else partial(self._permit, fence)
         try:
             reply = await self._hold_client.call('POST', '/v1/hold', order, self._headers, permit)
         except CALL_FAILURES as error:
@@ -155,7 +162,8 @@
         await self._hold_client.close()
 
     async def _send(self, path: str, order: dict[str, Any]) -> HttpReply:
-        return await self._client.call('POST', path, order, self._headers, self._permit)
+        permit = partial(self._permit, order['fencing_token'])
+        return await self._client.call('POST', path, order, self._headers, permit)
 
     async def _order(self, path: str, order: dict[str, Any]) -> bool:
         try:
@@ -188,12 +196,28 @@
     return StartAnswer.UNKNOWN if late else StartAnswer.DISCONNECTED
 
 
-def _read_reason(reply: HttpReply) -> str:
+def _decode_start_reply(reply: HttpReply) -> StartReply:
+    fields = _read_start_fields(reply)
+    answer = ANSWERS_BY_STATUS.get(reply.status, StartAnswer.UNKNOWN)
+    if reply.status == STATUS_CONFLICT:
+        answer = ANSWERS_BY_REASON.get(str(fields.get('reason', '')), StartAnswer.UNKNOWN)
+    clock_ms, born_ms = fields.get('clock_ms'), fields.get('born')
+    return StartReply(
+        answer,
+        clock_ms if isinstance(clock_ms, int) else None,
+        born_ms if isinstance(born_ms, int) else 0,
+    )
+
+
+def _read_start_fields(reply: HttpReply) -> dict[str, Any]:
+    if not reply.body:
+        return {}
     try:
-        return str(reply.read_json().get('reason', ''))
-    except (ValueError, AttributeError) as error:
-        log.warning("start refused for an unknown reason: the reply can't be decoded: %s", error)
-        return ''
+        document = reply.read_json()
+    except ValueError as error:
+        log.warning('start: reply with status %d is no JSON: %s', reply.status, error)
+        return {}
+    return document if isinstance(document, dict) else {}
 
 
 def _decode_report(reply: HttpReply) -> TargetReport:
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -43,6 +43,7 @@
 from comfreywind.scheduling.scheduler_state import SchedulerState
 from comfreywind.scheduling.settlement import Reconciliation
 from comfreywind.scheduling.target_link import MAX_HOLD_WAIT_S, TargetLink
+from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.target_registry import TargetRegistry
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.vm_watch import VmWatch
@@ -87,7 +88,7 @@
         self._rules = rules
         self._keeper = keeper
         self._clock = clock
-        self.scheduler_state = SchedulerState(term.epoch)
+        self.scheduler_state = SchedulerState(term.first_fence)
         self._planner = Planner(self.scheduler_state, metrics=metrics)
         self.journal = ProgressJournal(rows, self.scheduler_state)
         self._reservations = OrderReservations(
@@ -184,6 +185,13 @@
         """Return whether this holder may send orders at this moment."""
         return self._keeper.held is self._term and self._keeper.is_valid()
 
+    def _may_send(self, record: TargetRecord, fence: int) -> bool:
+        """Return whether an order with that fence may be sent to a target at this moment.
+
+        An order that was made before the fence was raised has a lease on another clock.
+        """
+        return self._may_order() and fence == record.fence
+
     def _may_order_vm(self, vm: str) -> bool:
         """Return whether an order for the VM may be sent at this moment."""
         return self._may_order() and self._reservations.may_send(vm)
@@ -333,11 +341,13 @@
         if entry is None:
             return
         if record is None or record.entry != entry or record.leaving:
-            record = self.scheduler_state.register_target(entry, self._clock.read_monotonic_s())
+            record = self.scheduler_state.register_target(entry)
             record.leaving = False
             self._wake.set()
         if row.key not in self._links:
             self._start_link(row.key)
+        elif not record.fenced:
+            self._links[row.key].wake()
 
     def _start_link(self, target_id: str) -> None:
         record = self.scheduler_state.targets[target_id]
@@ -345,7 +355,12 @@
             return
         link = TargetLink(
             record,
-            TargetClient(target_id, record.entry.address, MAX_HOLD_WAIT_S, self._may_order),
+            TargetClient(
+                target_id,
+                record.entry.address,
+                MAX_HOLD_WAIT_S,
+                partial(self._may_send, record),
+            ),
             self.scheduler_state,
             self.journal,
             self._keeper,
--- a/comfreywind/scheduling/maintenance_keeper.py
+++ b/comfreywind/scheduling/maintenance_keeper.py
@@ -157,7 +157,7 @@
     def _drop_target(self, target_id: str, now_s: float) -> None:
         record = self._state.targets.get(target_id)
         if record is not None and record.runs:
-            self._state.requeue_runs(record, now_s)
+            self._state.requeue_runs(record)
             self._publish([])
         if record is not None:
             record.leaving = True
--- a/comfreywind/scheduling/order_reservations.py
+++ b/comfreywind/scheduling/order_reservations.py
@@ -105,7 +105,7 @@
     def _is_earlier_expired(self) -> bool:
         """Return whether all reservations of earlier holders have expired since the takeover."""
         waited_s = self._clock.read_monotonic_s() - self._term.taken_s
-        return self._term.epoch == 1 or waited_s >= self._reservation_s + ARRIVAL_MARGIN_S
+        return self._term.first_fence == 1 or waited_s >= self._reservation_s + ARRIVAL_MARGIN_S
 
     def _get_latest_store_ms(self, at_s: float) -> float:
         """Return an upper bound of the store's clock at that time."""
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -27,9 +27,9 @@
 from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.supervision import note_unexpected
 
-# Each term gives the runs of a task ids from a range of this size, so that the ids of a later term
+# Run ids are counted from the term's first fence times this number, so that the ids of a later term
 # are higher.
-RUN_IDS_PER_TERM = 1_000
+RUN_IDS_PER_FENCE = 1_000
 NO_TARGETS: frozenset[str] = frozenset()
 
 log = logging.getLogger('comfreywind.planner')
@@ -256,7 +256,7 @@
             self._capacity_index.remove(target_id)
 
     def _find_run_id(self, record: JobRecord, keys: list[TaskKey]) -> int:
-        first = (self._state.epoch - 1) * RUN_IDS_PER_TERM
+        first = (self._state.first_fence - 1) * RUN_IDS_PER_FENCE
         return 1 + max(record.last_run_ids.get(key, first) for key in keys)
 
     def _add_run(self, record: JobRecord, key: TaskKey, run_id: int, target_id: str) -> None:
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from comfreywind.decisions.scheduling.crash_blame import StartEvidence
+from comfreywind.decisions.scheduling.fences import FENCES_PER_TERM
 from comfreywind.decisions.scheduling.pace import choose_pace
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
@@ -17,6 +18,7 @@
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.start_reply import StartReply
 from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.adopted_run import (
@@ -56,6 +58,7 @@
 # some members still wait is not broken.
 GANG_START_WINDOW_S = 0.5
 NO_TARGETS: frozenset[str] = frozenset()
+MS_PER_S = 1000
 
 log = logging.getLogger('comfreywind.board')
 
@@ -67,9 +70,10 @@
     holders, or None while there is no bound.
     """
 
-    def __init__(self, epoch: int) -> None:
-        """Start the term `epoch` with no jobs, targets or runs."""
-        self.epoch = epoch
+    def __init__(self, first_fence: int) -> None:
+        """Start a term with no jobs, targets or runs; `first_fence` is the lowest of its fences."""
+        self.first_fence = first_fence
+        self.last_fence = first_fence + FENCES_PER_TERM - 1
         self.rules: JobRules = JobRules(0)
         self.jobs: dict[str, JobRecord] = {}
         self.open_jobs: dict[str, JobRecord] = {}
@@ -143,78 +147,78 @@
             record.progress.state = stored.state
             self._close_job(record)
 
-    def register_target(self, entry: TargetEntry, now_s: float) -> TargetRecord:
-        """Add or update a target; a new incarnation under the same id starts without runs."""
+    def register_target(self, entry: TargetEntry) -> TargetRecord:
+        """Add or update a target, which may be a new incarnation under the same id."""
         record = self.targets.get(entry.target_id)
         if record is None:
-            record = TargetRecord(entry, incarnation_start_ms=entry.incarnation_start_ms)
+            record = TargetRecord(
+                entry,
+                incarnation_start_ms=entry.incarnation_start_ms,
+                fence=self.first_fence,
+            )
             self.targets[entry.target_id] = record
             return record
         if entry.incarnation_start_ms > record.incarnation_start_ms:
-            self.reset_target(record, entry.incarnation_start_ms, now_s)
+            self.reset_target(record, entry.incarnation_start_ms)
         record.entry = entry
         return record
 
     # Reports and answers of targets
 
-    def reset_target(self, record: TargetRecord, incarnation_start_ms: int, now_s: float) -> None:
-        """Reset the record of a target that has a new incarnation, and requeue its lost runs."""
+    def reset_target(self, record: TargetRecord, incarnation_start_ms: int) -> None:
+        """Reset the record of a target that has a new incarnation.
+
+        Which runs were lost shows the first report after the target has received the raised fence.
+        """
         log.info(
-            'target %s: new incarnation; %d runs were lost, tasks still needed are queued again',
+            'target %s: new incarnation; which of %d runs were lost is not known yet',
             record.entry.target_id,
             len(record.runs),
         )
-        record.incarnation_start_ms = incarnation_start_ms
-        record.applied_number = 0
-        record.stored_number = 0
-        record.acknowledged_number = 0
-        record.consecutive_failures = 0
-        self.end_incarnation(record, now_s)
-
-    def end_incarnation(self, record: TargetRecord, now_s: float) -> None:
-        """Requeue the runs of a target that has ended, and blame their tasks if it has crashed.
+        if record.known_runs is KnownRuns.ACTIVE:
+            # The ends that were not listed yet are gone with the incarnation.
+            record.known_runs = KnownRuns.ALL
+        record.begin_incarnation(incarnation_start_ms)
 
-        A target that was draining or whose VM was ordered down has not crashed.
-        """
+    def end_incarnation(self, record: TargetRecord) -> None:
+        """Requeue the runs of a target that has ended."""
         if record.known_runs is KnownRuns.ACTIVE:
             # The ends that were not listed yet are gone with the incarnation.
             record.known_runs = KnownRuns.ALL
-        lost = (*record.lapsed_runs, *record.runs.values())
-        record.lapsed_runs = ()
-        if lost and not (record.entry.draining or record.emptying):
-            self._apply_crash(record, lost)
-        self.requeue_runs(record, now_s)
+        self._blame_crash(record, record.runs.values())
+        self.requeue_runs(record)
 
-    def lapse_runs(self, record: TargetRecord, now_s: float) -> None:
+    def lapse_runs(self, record: TargetRecord) -> None:
         """Requeue the runs of a silent target whose leases have ended."""
         record.lapsed_runs = tuple(record.runs.values())
-        self.requeue_runs(record, now_s)
+        self.requeue_runs(record)
 
-    def requeue_runs(self, record: TargetRecord, now_s: float) -> None:
-        """Drop the runs of a target on which certainly nothing runs, and requeue their tasks."""
-        for run in list(record.runs.values()):
-            self.discard_run(run)
-            self.requeue(run.key)
-        record.used = NO_RESOURCES
+    def requeue_runs(self, record: TargetRecord) -> None:
+        """Drop the runs of a target on which certainly nothing runs, and requeue their tasks.
+
+        Orders that have not been sent or carried out yet must not take effect any more.
+        """
+        self._drop_runs(record.runs.values())
+        if record.fenced:
+            record.raise_fence()
 
     def apply_report(
-        self, record: TargetRecord, report: TargetReport, requested_s: float, now_s: float
+        self,
+        record: TargetRecord,
+        report: TargetReport,
+        fence: int,
+        requested_s: float,
+        now_s: float,
     ) -> list[Order]:
         """Apply the lists of runs that a target has sent, and return the orders that follow.
 
-        The report shows the target at a moment not before `requested_s`, when it was requested. One
-        of an earlier incarnation tells nothing of the present one.
+        The report was requested with `fence` at `requested_s`, and shows the target at a later
+        moment. One of an earlier incarnation tells nothing of the present one.
         """
         if 0 < report.incarnation_start_ms < record.incarnation_start_ms:
             log.info('target %s: report of an earlier incarnation ignored', record.entry.target_id)
             return []
-        if report.incarnation_start_ms > record.incarnation_start_ms:
-            self.reset_target(record, report.incarnation_start_ms, now_s)
-        shown = KnownRuns.ALL if report.complete else KnownRuns.ACTIVE
-        record.known_runs = max(record.known_runs, shown)
-        record.silent = False
-        record.heard_s = now_s
-        record.lapsed_runs = ()
+        self._begin_report(record, report, now_s)
         for ended in report.ended:
             if ended.number > record.applied_number:
                 self._apply_end(record, ended, now_s)
@@ -226,19 +230,26 @@
             orders.extend(self._apply_active(record, active.key, active.run_id, now_s))
             _apply_progress(record.runs.get(active.key), active, now_s)
         orders.extend(self._pace_best_effort_runs(record))
+        if not record.fenced:
+            if fence == record.fence:
+                self._confirm_incarnation(record, report, listed_keys)
+            return orders
+        record.heard_s = now_s
+        record.lapsed_runs = ()
         if report.complete:
             orders.extend(self._resolve_missing_runs(record, listed_keys, requested_s, now_s))
             orders.extend(self._stop_stalled_runs(record, now_s))
         return orders
 
-    def apply_start_answer(
-        self, order: StartOrder, answer: StartAnswer, now_s: float
-    ) -> list[Order]:
-        """Apply the answer to a start order and return the orders that follow."""
+    def apply_start_answer(self, order: StartOrder, reply: StartReply, now_s: float) -> list[Order]:
+        """Apply the reply to a start order and return the orders that follow."""
+        answer = reply.answer
+        record = self.targets.get(order.target_id)
+        if record is not None and answer is StartAnswer.STARTED:
+            self._check_incarnation(record, reply, now_s)
         run = self._get_run(order.target_id, order.key, order.run_id)
-        if run is None:
+        if record is None or run is None:
             return []
-        record = self.targets[order.target_id]
         run.last_answer_s = now_s
         run.add_evidence(EVIDENCE_BY_ANSWER.get(answer, StartEvidence.NONE))
         next_state = STATE_BY_ANSWER.get(answer)
@@ -261,6 +272,10 @@
         self.requeue(run.key)
         return []
 
+    def is_ordered(self, order: StartOrder) -> bool:
+        """Return whether the run of a start order is still recorded."""
+        return self._get_run(order.target_id, order.key, order.run_id) is not None
+
     def apply_stop_answer(self, order: StopOrder, confirmed: bool, now_s: float) -> list[Order]:
         """Apply the answer to a stop order; an unconfirmed stop is returned to be sent again."""
         run = self._get_run(order.target_id, order.key, order.run_id)
@@ -384,10 +399,67 @@
             return
         record.waiting[key] = None
 
+    def _begin_report(self, record: TargetRecord, report: TargetReport, now_s: float) -> None:
+        """Record what a report tells of the target itself, which may have restarted."""
+        if report.incarnation_start_ms > record.incarnation_start_ms:
+            self.reset_target(record, report.incarnation_start_ms)
+        record.clock_offset_ms = report.clock_ms - now_s * MS_PER_S
+        shown = KnownRuns.ALL if report.complete else KnownRuns.ACTIVE
+        record.known_runs = max(record.known_runs, shown)
+        record.silent = False
+
+    def _check_incarnation(self, record: TargetRecord, reply: StartReply, now_s: float) -> None:
+        """Raise the fence of a target if another incarnation of it may have carried out a start."""
+        if record.fenced and not record.is_from_present(reply, now_s):
+            log.info(
+                'target %s: it may have restarted, as its reply to a start tells another clock',
+                record.entry.target_id,
+            )
+            record.raise_fence()
+
+    def _confirm_incarnation(
+        self, record: TargetRecord, report: TargetReport, listed_keys: set[TaskKey]
+    ) -> None:
+        """Requeue the runs that the target has lost, now that no earlier order takes effect there.
+
+        Runs that an incomplete report doesn't show may have ended.
+        """
+        missing = [run for run in record.runs.values() if run.key not in listed_keys]
+        if missing and not report.complete:
+            return
+        if record.restarted:
+            self._blame_crash(record, missing)
+        record.fenced = True
+        record.restarted = False
+        record.lapsed_runs = ()
+        if missing:
+            log.info(
+                'target %s: %d runs were lost, tasks still needed are queued again',
+                record.entry.target_id,
+                len(missing),
+            )
+        self._drop_runs(missing)
+
+    def _blame_crash(self, record: TargetRecord, ended: Iterable[RunRecord]) -> None:
+        """Blame tasks for the end of an incarnation if it has crashed.
+
+        A target that was draining or whose VM was ordered down has not crashed.
+        """
+        lost = (*record.lapsed_runs, *ended)
+        record.lapsed_runs = ()
+        if lost and not (record.entry.draining or record.emptying):
+            self._apply_crash(record, lost)
+
+    def _drop_runs(self, runs: Iterable[RunRecord]) -> None:
+        """Drop runs that have certainly ended, and requeue their tasks."""
+        for run in tuple(runs):
+            self.discard_run(run)
+            self.requeue(run.key)
+
     def _apply_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
         if answer is StartAnswer.REPLACED:
             record.leaving = True
-            self.end_incarnation(record, now_s)
+            self.end_incarnation(record)
         cooldown_s = COOLDOWN_BY_ANSWER_S.get(answer, 0)
         record.cooldown_until_s = max(record.cooldown_until_s, now_s + cooldown_s)
 
--- a/comfreywind/scheduling/settlement.py
+++ b/comfreywind/scheduling/settlement.py
@@ -141,5 +141,5 @@
 
     def _is_unconfirmed(self, target_id: str) -> bool:
         record = self._state.targets.get(target_id)
-        has_reported = record is not None and record.reported
+        has_reported = record is not None and record.reported and not record.restarted
         return not has_reported and not self._is_gone(target_id)
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -10,6 +10,7 @@
 from comfreywind.errors import CallNotPermittedError, TargetReplacedError, TargetSilentError
 from comfreywind.jobs.run_report import TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.start_reply import StartReply
 from comfreywind.metrics import Metrics
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.scheduling.orders import Order, PaceOrder, StartOrder, StopOrder
@@ -77,27 +78,29 @@
         self._clock = clock
         self._lease_s = min(RUN_LEASE_S, lease_limit_s)
         self._submit_orders = submit_orders
-        self._clock_offset_ms: float | None = None
         self._silent_retry_s = SILENT_RETRY_INTERVAL_S
         self._wake = trio.Event()
 
     async def run(self) -> None:
-        """Poll the target and extend its lease until it is gone or another holder took over."""
+        """Poll the target and extend its lease until it is gone or another holder took over.
+
+        The term is dropped when the target has restarted so often that its fences are used up.
+        """
         target_id = self._record.entry.target_id
         try:
-            while await self._poll():
+            while self._has_fence() and await self._poll():
                 await self._pause()
         except TargetReplacedError as error:
             log.info('target %s: replaced, its link and its runs end: %s', target_id, error)
             self._record.leaving = True
-            self._state.end_incarnation(self._record, self._clock.read_monotonic_s())
+            self._state.end_incarnation(self._record)
             self._submit_orders([])
         finally:
             with trio.CancelScope(shield=True), trio.move_on_after(0.1):
                 await self._client.close()
 
     def wake(self) -> None:
-        """Have the target polled soon, because it has new runs."""
+        """Have the target polled soon, because it has new runs or has restarted."""
         self._wake.set()
 
     async def send(self, order: Order) -> None:
@@ -117,7 +120,7 @@
     @_apply_unconfirmed.register
     def _apply_unconfirmed_start(self, order: StartOrder) -> list[Order]:
         now_s = self._clock.read_monotonic_s()
-        return self._state.apply_start_answer(order, StartAnswer.UNKNOWN, now_s)
+        return self._state.apply_start_answer(order, StartReply(StartAnswer.UNKNOWN), now_s)
 
     @_apply_unconfirmed.register
     def _apply_unconfirmed_stop(self, order: StopOrder) -> list[Order]:
@@ -130,32 +133,34 @@
     @_send.register
     async def _send_start(self, order: StartOrder) -> list[Order]:
         expires_ms = self._compute_expiry_ms()
-        if expires_ms is None or not self._keeper.is_valid():
+        wanted = self._record.fenced and self._state.is_ordered(order)
+        if expires_ms is None or not wanted or not self._keeper.is_valid():
             return self._state.apply_start_answer(
-                order, StartAnswer.EXPIRED, self._clock.read_monotonic_s()
+                order, StartReply(StartAnswer.EXPIRED), self._clock.read_monotonic_s()
             )
         sent_s = self._clock.read_monotonic_s()
-        answer = await self._client.start(
+        fence = self._record.fence
+        reply = await self._client.start(
             order.key,
             order.run_id,
             order.spec,
-            self._state.epoch,
+            fence,
             expires_ms,
             order.checkpoint,
             order.ticket,
         )
         self._metrics.record_duration('starts', self._clock.read_monotonic_s() - sent_s)
-        self._metrics.count(f'starts.{answer.value}')
-        if answer is StartAnswer.FENCED:
-            self._keeper.step_down(f'target {order.target_id} has a higher fence')
+        self._metrics.count(f'starts.{reply.answer.value}')
+        if reply.answer is StartAnswer.FENCED:
+            self._handle_higher_fence(fence)
         self._wake.set()
-        return self._state.apply_start_answer(order, answer, self._clock.read_monotonic_s())
+        return self._state.apply_start_answer(order, reply, self._clock.read_monotonic_s())
 
     @_send.register
     async def _send_stop(self, order: StopOrder) -> list[Order]:
         confirmed = False
         if self._keeper.is_valid():
-            confirmed = await self._client.stop(order.key, order.run_id, self._state.epoch)
+            confirmed = await self._client.stop(order.key, order.run_id, self._record.fence)
         if not confirmed:
             await trio.sleep(STOP_RETRY_DELAY_S)
         self._wake.set()
@@ -164,9 +169,16 @@
     @_send.register
     async def _send_pace(self, order: PaceOrder) -> list[Order]:
         if self._keeper.is_valid():
-            await self._client.pace(order.key, order.run_id, order.percent, self._state.epoch)
+            await self._client.pace(order.key, order.run_id, order.percent, self._record.fence)
         return []
 
+    def _has_fence(self) -> bool:
+        """Drop the term if its fences are used up, and return whether there is one for the target."""
+        if self._record.fence <= self._state.last_fence:
+            return True
+        self._keeper.step_down(f'target {self._record.entry.target_id} needs a higher fence')
+        return False
+
     async def _poll(self) -> bool:
         """Request one report; return False when the link has to end."""
         requested_s = self._clock.read_monotonic_s()
@@ -176,13 +188,14 @@
         expires_ms = self._compute_expiry_ms() if extends_lease else None
         wait_ms = self._choose_wait_ms()
         incarnation_start_ms = self._record.incarnation_start_ms
+        fence = self._record.fence
         acknowledged = self._record.acknowledged_number
         # Without a valid term nothing more is acknowledged: a successor may not have read the
         # progress of these ends.
         if extends_lease:
             acknowledged = self._record.stored_number
         try:
-            report = await self._client.hold(self._state.epoch, acknowledged, expires_ms, wait_ms)
+            report = await self._client.hold(fence, acknowledged, expires_ms, wait_ms)
         except TargetSilentError as error:
             self._record_acknowledged(incarnation_start_ms, acknowledged)
             return self._handle_silence(error)
@@ -191,10 +204,9 @@
             return True
         self._record_acknowledged(incarnation_start_ms, acknowledged)
         if report is None:
-            self._keeper.step_down(f'target {self._record.entry.target_id} has a higher fence')
-            return False
+            return not self._handle_higher_fence(fence)
         try:
-            self._apply_report(report, requested_s)
+            self._apply_report(report, fence, requested_s)
         except Exception as error:
             # A target whose reports can't be applied is treated as silent: its lease ends.
             note_unexpected('report', error, self._metrics)
@@ -206,10 +218,19 @@
         if self._record.incarnation_start_ms == incarnation_start_ms:
             self._record.acknowledged_number = number
 
-    def _apply_report(self, report: TargetReport, requested_s: float) -> None:
+    def _handle_higher_fence(self, fence: int) -> bool:
+        """Drop the term if a target has refused the latest fence, and return whether it has.
+
+        A lower one is refused because this holder has raised the fence since.
+        """
+        if fence < self._record.fence:
+            return False
+        self._keeper.step_down(f'target {self._record.entry.target_id} has a higher fence')
+        return True
+
+    def _apply_report(self, report: TargetReport, fence: int, requested_s: float) -> None:
         now_s = self._clock.read_monotonic_s()
-        self._clock_offset_ms = report.clock_ms - now_s * MS_PER_S
-        orders = self._state.apply_report(self._record, report, requested_s, now_s)
+        orders = self._state.apply_report(self._record, report, fence, requested_s, now_s)
         if self._record.applied_number > self._record.stored_number:
             self._journal.wake()
         self._submit_orders(orders)
@@ -230,30 +251,38 @@
                 record.entry.target_id,
                 len(record.runs),
             )
-            self._state.lapse_runs(record, now_s)
+            self._state.lapse_runs(record)
             self._submit_orders([])
         return not record.leaving
 
     async def _pause(self) -> None:
         record = self._record
         if record.silent:
-            await trio.sleep(SILENT_RETRY_INTERVAL_S if record.runs else self._silent_retry_s)
-            self._silent_retry_s = min(2 * self._silent_retry_s, MAX_SILENT_RETRY_INTERVAL_S)
+            await self._pause_silent()
             return
         self._silent_retry_s = SILENT_RETRY_INTERVAL_S
         if record.applied_number > record.stored_number:
             await self._journal.wait_until_stored(MAX_STORE_WAIT_S)
             return
-        if record.runs:
+        if record.runs or not record.fenced:
             return
+        await self._wait_for_wake(IDLE_POLL_INTERVAL_S)
+
+    async def _pause_silent(self) -> None:
+        """Pause before the next poll of a silent target; its restart ends the pause."""
+        pause_s = SILENT_RETRY_INTERVAL_S if self._record.runs else self._silent_retry_s
+        self._silent_retry_s = min(2 * self._silent_retry_s, MAX_SILENT_RETRY_INTERVAL_S)
+        await self._wait_for_wake(pause_s)
+
+    async def _wait_for_wake(self, limit_s: float) -> None:
         self._wake = trio.Event()
-        with trio.move_on_after(IDLE_POLL_INTERVAL_S):
+        with trio.move_on_after(limit_s):
             await self._wake.wait()
 
     def _choose_wait_ms(self) -> int:
         record = self._record
-        needs_first_report = self._clock_offset_ms is None or not record.reported
-        if needs_first_report or record.silent or not record.runs:
+        needs_first_report = record.clock_offset_ms is None or not record.reported
+        if needs_first_report or not record.fenced or record.silent or not record.runs:
             return 0
         if record.has_unstored_ends:
             return 0
@@ -269,9 +298,10 @@
 
         Records the latest time on the holder's clock at which such a lease may still be valid.
         """
-        if self._clock_offset_ms is None:
+        clock_offset_ms = self._record.clock_offset_ms
+        if clock_offset_ms is None:
             return None
         now_s = self._clock.read_monotonic_s()
         end_s = now_s + self._lease_s * CLOCK_DRIFT_RATIO + LEASE_MARGIN_S
         self._record.lease_end_s = max(self._record.lease_end_s, end_s)
-        return int(now_s * MS_PER_S + self._clock_offset_ms + self._lease_s * MS_PER_S)
+        return int(now_s * MS_PER_S + clock_offset_ms + self._lease_s * MS_PER_S)
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -3,11 +3,17 @@
 from dataclasses import dataclass, field
 
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
+from comfreywind.jobs.start_reply import StartReply
 from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.known_runs import KnownRuns
 from comfreywind.scheduling.run_record import RunRecord, RunState
 
+# How far the clock in a reply may be from the one that the last report leads to expect. The reply
+# may be delayed, and the clocks drift.
+CLOCK_TOLERANCE_MS = 500
+MS_PER_S = 1000
+
 
 @dataclass(slots=True)
 class TargetRecord:
@@ -25,6 +31,12 @@
     and `emptying` while its VM is being drained for an order. `heard_s` is when it last replied.
     `lapsed_runs` are those whose lease ended while it was silent: whether it has crashed or was only
     cut off shows when it replies again.
+
+    `fence` is that of all orders to the target now. `fenced` is set once the present incarnation has
+    replied to a call with that fence: orders that were sent with a lower one no longer take effect
+    there, and its report has shown which of them did. Until then, `restarted` tells that the
+    incarnation before has ended, with runs that may not be known to be lost. `clock_offset_ms` is the target's clock less
+    the holder's, or None before the present incarnation has told its clock.
     """
 
     entry: TargetEntry
@@ -46,6 +58,10 @@
     emptying: bool = False
     heard_s: float = 0
     lapsed_runs: tuple[RunRecord, ...] = ()
+    fence: int = 1
+    fenced: bool = False
+    restarted: bool = False
+    clock_offset_ms: float | None = None
 
     @property
     def reported(self) -> bool:
@@ -66,7 +82,7 @@
     def may_start(self, now_s: float) -> bool:
         """Return whether a run may be started on the target at this moment."""
         accepts_starts = self._has_current_capacity() and not self.has_open_suspect()
-        return self.in_registry and self.is_usable(now_s) and accepts_starts
+        return self.in_registry and self.fenced and self.is_usable(now_s) and accepts_starts
 
     def has_open_suspect(self) -> bool:
         """Return whether a task that may crash the target has not made progress there yet."""
@@ -85,6 +101,34 @@
         probing = self.consecutive_failures > 1 and short_runs
         return not (unavailable or unresponsive or probing) and now_s >= self.cooldown_until_s
 
+    def begin_incarnation(self, incarnation_start_ms: int) -> None:
+        """Reset what was known of the incarnation before; its runs are kept until a report.
+
+        Some may have been ordered after the restart, or their orders may still arrive.
+        """
+        self.incarnation_start_ms = incarnation_start_ms
+        self.applied_number = 0
+        self.stored_number = 0
+        self.acknowledged_number = 0
+        self.consecutive_failures = 0
+        self.restarted = True
+        self.raise_fence()
+
+    def raise_fence(self) -> None:
+        """Have the target refuse the orders that were sent before, because it may have restarted."""
+        self.fence += 1
+        self.fenced = False
+        self.clock_offset_ms = None
+
+    def is_from_present(self, reply: StartReply, now_s: float) -> bool:
+        """Return whether the incarnation that has replied is certainly the one that is known."""
+        if reply.incarnation_start_ms:
+            return reply.incarnation_start_ms == self.incarnation_start_ms
+        if reply.clock_ms is None or self.clock_offset_ms is None:
+            return False
+        expected_ms = now_s * MS_PER_S + self.clock_offset_ms
+        return abs(reply.clock_ms - expected_ms) <= CLOCK_TOLERANCE_MS
+
     def add_run(self, run: RunRecord) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
--- a/comfreywind/scheduling/term_keeper.py
+++ b/comfreywind/scheduling/term_keeper.py
@@ -9,6 +9,7 @@
 import trio
 
 from comfreywind.clock import Clock
+from comfreywind.decisions.scheduling.fences import compute_first_fence, compute_next_epoch
 from comfreywind.decisions.scheduling.term import (
     DEFAULT_TERM_S,
     POLL_INTERVAL_S,
@@ -50,13 +51,19 @@
 class HeldTerm:
     """A term that this node holds, taken at `taken_s` on its steady clock.
 
-    Jobs with a row version above `taken_version` were never started by an earlier holder.
+    `epoch` is the highest fence that its orders may carry. Jobs with a row version above
+    `taken_version` were never started by an earlier holder.
     """
 
     epoch: int
     taken_version: int
     taken_s: float
 
+    @property
+    def first_fence(self) -> int:
+        """Return the lowest fence of the term, which is above those of all earlier terms."""
+        return compute_first_fence(self.epoch)
+
 
 class TermKeeper:
     """Polls the lease row of the term, takes the term when it is free, and renews it.
@@ -247,9 +254,10 @@
         """Return the change that takes or renews the term if it is sent at that time."""
         store_time = self._rows.store_time
         count = self._pending_count
+        epoch = self._lease_row.epoch
         row = TermRow(
             self._node,
-            self._lease_row.epoch + int(step is TermAction.TAKE),
+            compute_next_epoch(epoch) if step is TermAction.TAKE else epoch,
             self._take_renewal_number(),
             term_s=self._next_term_s,
             renewed_ms=0 if store_time is None else store_time.compute_latest_ms(sent_s),
--- a/comfreywind/scheduling/term_row.py
+++ b/comfreywind/scheduling/term_row.py
@@ -16,6 +16,8 @@
 class TermRow:
     """The holder of the term, its epoch and the number of renewals.
 
+    The epoch is the highest fence that orders of the term may carry.
+
     The term lasts `term_s` from the last renewal, which was not later than `renewed_ms` on the
     store's clock (0 when the holder did not know that clock). The holder's process started at
     `started_ms` on the store's clock. `pending` is a packed `PendingCount`, which a holder that has
--- a/comfreywind/scheduling/vm_watch.py
+++ b/comfreywind/scheduling/vm_watch.py
@@ -110,5 +110,5 @@
             if record.runs:
                 log.info('target %s: VM is down, %d runs lost', target_id, len(record.runs))
                 dropped = True
-            self._state.end_incarnation(record, self._clock.read_monotonic_s())
+            self._state.end_incarnation(record)
         return dropped
--- a/tests/scheduling/test_board.py
+++ b/tests/scheduling/test_board.py
@@ -200,6 +200,9 @@
     harness.add_job()
     harness.start()
     harness.report('t0', incarnation_start_ms=2)
+    # A start that was sent before the fence was raised may still arrive.
+    assert KEY not in harness.scheduler_state.jobs[JOB_ID].waiting
+    harness.report('t0')
     assert KEY in harness.scheduler_state.jobs[JOB_ID].waiting
     harness.register('t0', incarnation_start_ms=2)
     (again,) = harness.start()
