Start a task elsewhere only when its unanswered order can't take effect any more

Cause: a start without a reply was taken as settled when the target restarted, confirmed a stop, or had been silent for as long as its lease. All three hold for one incarnation. An order may be carried out up to 12 s after it was sent, and an incarnation that did not exist then knows neither the stop nor the fence nor the clock of its lease.

Ruled out as the way to go: waiting for 12 s after each lost answer, which all tasks of a slow target would pay.

Change: `OpenStarts` records which task has a start order without a reply, and at which target. The task may be started again at once on that target, where a run of an earlier incarnation is gone and the present one refuses a second run beside the first. It goes elsewhere when a report, a reply or the end of the id tells what became of the order, or when neither a late order nor a late extension can keep a run alive. A start that was confirmed by an incarnation which may not be the known one counts as open too, as it may hold a lease on another clock.

Two fixtures never answered the orders of runs that they then showed at work; they answer now, as targets do, and check the same.

--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -336,6 +336,8 @@
             if record is not None:
                 log.info('target %s: its entry was removed, it gets no new runs', row.key)
                 record.leaving = True
+                if record.entry.draining:
+                    self.scheduler_state.open_starts.close_target(row.key)
             return
         entry = decode_target(row.key, row.payload)
         if entry is None:
--- /dev/null
+++ b/comfreywind/scheduling/open_starts.py
@@ -0,0 +1,70 @@
+"""The start orders without a reply, by task."""
+
+from collections.abc import Callable
+
+from comfreywind.decisions.scheduling.open_start import OpenStart
+from comfreywind.jobs.task_key import TaskKey
+from comfreywind.scheduling.run_record import RunRecord
+
+
+class OpenStarts:
+    """Records which targets may still carry out a start order of a task."""
+
+    def __init__(self) -> None:
+        """Start without open starts."""
+        self._by_key: dict[TaskKey, OpenStart] = {}
+
+    def add(self, run: RunRecord, sent_s: float) -> None:
+        """Record that there is no reply to the start order of a run, sent at `sent_s` or before."""
+        known = self._by_key.get(run.key)
+        if known is None or known.target_id != run.target_id:
+            known = OpenStart(run.target_id, sent_s, sent_s)
+            self._by_key[run.key] = known
+        known.run_ids.add(run.run_id)
+        known.sent_s = max(known.sent_s, sent_s)
+
+    def extend(self, key: TaskKey, run_id: int, sent_s: float) -> None:
+        """Record that an order that is open already was sent as late as that."""
+        known = self._by_key.get(key)
+        if known is not None and run_id in known.run_ids:
+            known.sent_s = max(known.sent_s, sent_s)
+
+    def close(self, key: TaskKey, run_id: int) -> None:
+        """Record that it is known what became of an order."""
+        known = self._by_key.get(key)
+        if known is None:
+            return
+        known.run_ids.discard(run_id)
+        if not known.run_ids:
+            del self._by_key[key]
+
+    def note_silence(self, target_id: str, now_s: float) -> None:
+        """Record that a target has stopped replying."""
+        for known in self._by_key.values():
+            if known.target_id == target_id:
+                known.silent_s = now_s
+
+    def settle(self, target_id: str, requested_s: float) -> None:
+        """Close the orders of which a complete report of a target tells that it has no run."""
+        self._drop(lambda known: known.target_id == target_id and known.is_settled_by(requested_s))
+
+    def close_target(self, target_id: str) -> None:
+        """Close the orders to a target that will not start again under its id."""
+        self._drop(lambda known: known.target_id == target_id)
+
+    def close_job(self, job_id: str) -> None:
+        """Close the orders of a job that is dropped."""
+        self._by_key = {key: known for key, known in self._by_key.items() if key.job_id != job_id}
+
+    def find_target(self, key: TaskKey, now_s: float) -> str | None:
+        """Return the only target on which the task may be started now, or None if all may be."""
+        known = self._by_key.get(key)
+        if known is None:
+            return None
+        if known.is_open(now_s):
+            return known.target_id
+        del self._by_key[key]
+        return None
+
+    def _drop(self, is_closed: Callable[[OpenStart], bool]) -> None:
+        self._by_key = {key: known for key, known in self._by_key.items() if not is_closed(known)}
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -145,12 +145,16 @@
                 order = self._start_suspect(record, key, run_id, allowed)
             else:
                 order = self._start_task(record, key, run_id, allowed)
-                if order is None:
-                    break
             if order is not None:
                 orders.append(order)
+            elif not self._is_narrowed(record, key):
+                break
         return orders
 
+    def _is_narrowed(self, record: JobRecord, key: TaskKey) -> bool:
+        """Return whether a task has fewer targets to choose from than others of its step."""
+        return key in record.suspects or self._is_bound(key)
+
     def _start_suspect(
         self, record: JobRecord, key: TaskKey, run_id: int, allowed: Collection[str] | None
     ) -> StartOrder | None:
@@ -216,13 +220,14 @@
         step = record.job.steps[key.step]
         if self._is_unplaceable(step) or not self._state.may_use(record.job.team, step.request):
             return None
+        allowed = self._narrow_to_open_start(key, allowed)
         avoided = record.failed_on.get(key, NO_TARGETS)
         spread = step.target_limit or step.unavailable_limit
         same_step = self._count_same_step(record, key) if spread else NO_COUNTS
         chosen = self._capacity_index.choose(step, avoided, same_step, allowed)
         if chosen is None:
-            narrowed = key in record.suspects or bool(record.job.queue.advice_validity_ms)
-            self._record_unplaced(step, narrowed)
+            advised = bool(record.job.queue.advice_validity_ms)
+            self._record_unplaced(step, advised or self._is_narrowed(record, key))
             return None
         self._add_run(record, key, run_id, chosen.target_id)
         self._update_capacity(chosen.target_id)
@@ -236,6 +241,19 @@
             '' if advice is None else advice.get_ticket(chosen.target_id),
         )
 
+    def _is_bound(self, key: TaskKey) -> bool:
+        """Return whether an earlier start order binds the task to one target."""
+        return self._state.open_starts.find_target(key, self._now_s) is not None
+
+    def _narrow_to_open_start(
+        self, key: TaskKey, allowed: Collection[str] | None
+    ) -> Collection[str] | None:
+        """Return the one target to which an open start order binds the task, if it is allowed."""
+        bound_to = self._state.open_starts.find_target(key, self._now_s)
+        if bound_to is None:
+            return allowed
+        return (bound_to,) if allowed is None or bound_to in allowed else NO_TARGETS
+
     def _is_unplaceable(self, step: Step) -> bool:
         """Return whether this plan found no target for a request that is not larger."""
         request = compute_effective_request(step)
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -64,6 +64,11 @@
         """Return whether a report has shown progress of the run."""
         return self.evidence is StartEvidence.PROGRESS
 
+    @property
+    def may_be_unanswered(self) -> bool:
+        """Return whether the start order may have been sent, and nothing shows what became of it."""
+        return self.state is RunState.STARTING and self.evidence is StartEvidence.NONE
+
     def add_evidence(self, evidence: StartEvidence) -> None:
         """Keep the strongest evidence that the run has started."""
         self.evidence = max(self.evidence, evidence)
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -29,6 +29,7 @@
 from comfreywind.scheduling.crash_accounting import count_crash
 from comfreywind.scheduling.job_record import JobRecord
 from comfreywind.scheduling.known_runs import KnownRuns
+from comfreywind.scheduling.open_starts import OpenStarts
 from comfreywind.scheduling.orders import Order, PaceOrder, StartOrder, StopOrder
 from comfreywind.scheduling.run_record import RunRecord, RunState
 from comfreywind.scheduling.target_record import TargetRecord
@@ -50,6 +51,7 @@
     StartAnswer.UNKNOWN: RunState.UNCONFIRMED,
     StartAnswer.DISCONNECTED: RunState.UNCONFIRMED,
 }
+ANSWERS_WITHOUT_REPLY = frozenset((StartAnswer.UNKNOWN, StartAnswer.DISCONNECTED))
 EVIDENCE_BY_ANSWER = {
     StartAnswer.STARTED: StartEvidence.ACKNOWLEDGED,
     StartAnswer.DISCONNECTED: StartEvidence.DISCONNECTED,
@@ -84,6 +86,7 @@
         self.changed_jobs: dict[str, JobRecord] = {}
         self.early_cancels: set[str] = set()
         self.added_jobs_count = 0
+        self.open_starts = OpenStarts()
         self._closing: dict[str, JobRecord] = {}
 
     # Rows of the store
@@ -125,6 +128,7 @@
         self._suspended_jobs.pop(job_id, None)
         self.changed_jobs.pop(job_id, None)
         self._closing.pop(job_id, None)
+        self.open_starts.close_job(job_id)
         self.early_cancels.discard(job_id)
 
     def suspend_job(self, record: JobRecord, planned_s: float) -> None:
@@ -237,6 +241,7 @@
         record.heard_s = now_s
         record.lapsed_runs = ()
         if report.complete:
+            self.open_starts.settle(record.entry.target_id, requested_s)
             orders.extend(self._resolve_missing_runs(record, listed_keys, requested_s, now_s))
             orders.extend(self._stop_stalled_runs(record, now_s))
         return orders
@@ -244,9 +249,10 @@
     def apply_start_answer(self, order: StartOrder, reply: StartReply, now_s: float) -> list[Order]:
         """Apply the reply to a start order and return the orders that follow."""
         answer = reply.answer
+        self._record_start_answer(order, answer, now_s)
         record = self.targets.get(order.target_id)
         if record is not None and answer is StartAnswer.STARTED:
-            self._check_incarnation(record, reply, now_s)
+            self._check_incarnation(record, order, reply, now_s)
         run = self._get_run(order.target_id, order.key, order.run_id)
         if record is None or run is None:
             return []
@@ -408,9 +414,27 @@
         record.known_runs = max(record.known_runs, shown)
         record.silent = False
 
-    def _check_incarnation(self, record: TargetRecord, reply: StartReply, now_s: float) -> None:
+    def _record_start_answer(self, order: StartOrder, answer: StartAnswer, now_s: float) -> None:
+        """Record whether the target may carry out a start order later."""
+        run = self._get_run(order.target_id, order.key, order.run_id)
+        if answer not in ANSWERS_WITHOUT_REPLY:
+            self.open_starts.close(order.key, order.run_id)
+        elif run is None:
+            self.open_starts.extend(order.key, order.run_id, now_s)
+        elif order.key.job_id in self.jobs:
+            self.open_starts.add(run, now_s)
+
+    def _check_incarnation(
+        self, record: TargetRecord, order: StartOrder, reply: StartReply, now_s: float
+    ) -> None:
         """Raise the fence of a target if another incarnation of it may have carried out a start."""
-        if record.fenced and not record.is_from_present(reply, now_s):
+        if record.is_from_present(reply, now_s):
+            return
+        run = self._get_run(order.target_id, order.key, order.run_id)
+        if run is not None:
+            # A target that has restarted counts the lease from a clock that the order doesn't know.
+            self.open_starts.add(run, now_s)
+        if record.fenced:
             log.info(
                 'target %s: it may have restarted, as its reply to a start tells another clock',
                 record.entry.target_id,
@@ -453,6 +477,8 @@
     def _drop_runs(self, runs: Iterable[RunRecord]) -> None:
         """Drop runs that have certainly ended, and requeue their tasks."""
         for run in tuple(runs):
+            if run.may_be_unanswered and run.key.job_id in self.jobs:
+                self.open_starts.add(run, run.started_s)
             self.discard_run(run)
             self.requeue(run.key)
 
@@ -460,6 +486,7 @@
         if answer is StartAnswer.REPLACED:
             record.leaving = True
             self.end_incarnation(record)
+            self.open_starts.close_target(record.entry.target_id)
         cooldown_s = COOLDOWN_BY_ANSWER_S.get(answer, 0)
         record.cooldown_until_s = max(record.cooldown_until_s, now_s + cooldown_s)
 
@@ -478,6 +505,7 @@
     def _apply_end(self, target: TargetRecord, ended: EndedRun, now_s: float) -> None:
         run = target.runs.get(ended.key)
         record = self.jobs.get(ended.key.job_id)
+        self.open_starts.close(ended.key, ended.run_id)
         if run is not None and run.run_id == ended.run_id:
             run.checkpoint = ended.checkpoint or run.checkpoint
             self.discard_run(run)
@@ -558,6 +586,7 @@
     ) -> list[Order]:
         run = target.runs.get(key)
         self._mark_job_started(key.job_id)
+        self.open_starts.close(key, run_id)
         if run is not None and run.run_id == run_id:
             if run.state is RunState.UNCONFIRMED:
                 run.state = RunState.RUNNING
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -94,6 +94,7 @@
             log.info('target %s: replaced, its link and its runs end: %s', target_id, error)
             self._record.leaving = True
             self._state.end_incarnation(self._record)
+            self._state.open_starts.close_target(target_id)
             self._submit_orders([])
         finally:
             with trio.CancelScope(shield=True), trio.move_on_after(0.1):
@@ -241,8 +242,10 @@
             log.info(
                 'target %s: silent, its lease is not extended: %s', record.entry.target_id, error
             )
-        record.silent = True
         now_s = self._clock.read_monotonic_s()
+        if not record.silent:
+            self._state.open_starts.note_silence(record.entry.target_id, now_s)
+        record.silent = True
         if now_s < record.lease_end_s:
             return True
         if record.runs:
--- a/comfreywind/scheduling/vm_watch.py
+++ b/comfreywind/scheduling/vm_watch.py
@@ -103,6 +103,7 @@
         if not self._complete:
             return False
         live_targets = self._list_live_targets()
+        listed_targets = {vm.target_id for vm in self.vms.values()}
         dropped = False
         for target_id, record in self._state.targets.items():
             if target_id in live_targets or not record.silent:
@@ -111,4 +112,6 @@
                 log.info('target %s: VM is down, %d runs lost', target_id, len(record.runs))
                 dropped = True
             self._state.end_incarnation(record)
+            if target_id not in listed_targets:
+                self._state.open_starts.close_target(target_id)
         return dropped
--- a/comfreywind/stand_ins/jobs/target_app.py
+++ b/comfreywind/stand_ins/jobs/target_app.py
@@ -75,9 +75,12 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
         order = await read_json(receive, BODY_LIMIT_BYTES)
-        await trio.sleep_until(self.silent_until_s)
+        if self.late_s and scope['path'] == '/v1/run-start':
+            await trio.sleep(self.late_s)
+        else:
+            await trio.sleep_until(self.silent_until_s)
         if scope['path'] == '/v1/run-start':
-            await trio.sleep(self.late_s + self.start_s)
+            await trio.sleep(self.start_s)
         self._end_runs()
         if order['fencing_token'] < self.fence:
             await self._reply(send, 409, {'reason': 'fence'})
--- a/tests/field_faults/test_restarted_target.py
+++ b/tests/field_faults/test_restarted_target.py
@@ -3,13 +3,19 @@
 Whole fleets on loopback: no task may have two runs at the same time.
 """
 
+from collections.abc import Awaitable, Callable
+
 import pytest
 import trio
 
 from bench.job_fleet import JobFleet, run_job_fleet
+from comfreywind.stand_ins.jobs.target_app import JobTargetApp
 
-JOB = '00000000000000a1'
 WARM_JOB = '00000000000000a0'
+JOB = '00000000000000a1'
+LATE_JOB = '00000000000000a2'
+LATE_S = 2.0
+CUT_S = 20.0
 
 
 async def find_used_target(fleet: JobFleet) -> int:
@@ -45,3 +51,58 @@
         await submit_small_tasks(fleet)
         await fleet.wait_for_state(0, JOB, 'complete')
     assert not fleet.log.list_doubles()
+
+
+async def crash_once(target: JobTargetApp) -> None:
+    """Restart once, shortly after the orders were sent."""
+    await trio.sleep(0.3)
+    target.restart()
+
+
+async def crash_twice(target: JobTargetApp) -> None:
+    """Restart again just before the orders are carried out."""
+    await crash_once(target)
+    await trio.sleep(LATE_S - 0.4)
+    target.restart()
+
+
+async def crash_late(target: JobTargetApp) -> None:
+    """Restart after the holder has stopped the runs that the target doesn't list."""
+    await trio.sleep(LATE_S - 0.1)
+    target.restart()
+
+
+async def crash_and_cut(target: JobTargetApp) -> None:
+    """Restart and be cut off at once, for longer than a lease."""
+    await crash_once(target)
+    target.silent_until_s = trio.current_time() + CUT_S
+
+
+# Guards against a second run of tasks whose first order is carried out late, by an incarnation that
+# did not exist when it was sent (TWICE).
+@pytest.mark.parametrize(
+    ('event', 'late_s', 'work_s'),
+    [
+        (crash_once, LATE_S, 3),
+        (crash_twice, LATE_S, 3),
+        (crash_late, LATE_S, 3),
+        (crash_and_cut, 7.0, 4),
+    ],
+)
+async def test_late_order_and_restart(
+    event: Callable[[JobTargetApp], Awaitable[None]], late_s: float, work_s: float
+) -> None:
+    """Starts no task elsewhere while a target may still carry out an order for it."""
+    async with run_job_fleet(node_count=1, target_count=3) as fleet:
+        used = await find_used_target(fleet)
+        target = fleet.targets[used]
+        target.late_s = late_s
+        async with trio.open_nursery() as nursery:
+            assert await fleet.submit(0, LATE_JOB, f'work_s={work_s}', count=12) == 200
+            nursery.start_soon(event, target)
+            await trio.sleep(0.2)
+            target.late_s = 0
+        with trio.fail_after(30):
+            while await fleet.read_state(0, LATE_JOB) != 'complete':
+                await trio.sleep(0.1)
+    assert not fleet.log.list_doubles()
--- a/tests/scheduling/test_advice_book.py
+++ b/tests/scheduling/test_advice_book.py
@@ -83,6 +83,7 @@
     harness.add_job(make_job(queue=ADVISED_QUEUE))
     (order,) = harness.plan_with_advice()
     assert order.target_id in {'t0', 't1'}
+    harness.answer(order, StartAnswer.STARTED)  # type: ignore[arg-type]
     for target_id in ('t0', 't1'):
         record = harness.scheduler_state.targets[target_id]
         record.leaving = True
--- a/tests/scheduling/test_maintenance_rounds.py
+++ b/tests/scheduling/test_maintenance_rounds.py
@@ -20,6 +20,7 @@
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.vm import Vm
 from comfreywind.jobs.vm_list import VmList
+from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.platform.stored_row import RowChange
 from comfreywind.platform.vm_client import VmOrderAnswer
 from comfreywind.scheduling.maintenance_keeper import MaintenanceKeeper
@@ -131,6 +132,7 @@
         while True:
             for order in self.harness.plan():
                 if isinstance(order, StartOrder):
+                    self.harness.answer(order, StartAnswer.STARTED)
                     self.at_work_s[order.target_id] = trio.current_time() + WARM_UP_S
                     self.restarted_on.append(order.target_id)
                     self.restarts_s.append(trio.current_time() - self.ordered_s)
