--- a/tests/scheduling/test_maintenance_rounds.py
+++ b/tests/scheduling/test_maintenance_rounds.py
@@ -17,10 +17,10 @@
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.maintenance_wave import MaintenanceWave
 from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.vm import Vm
 from comfreywind.jobs.vm_list import VmList
-from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.platform.stored_row import RowChange
 from comfreywind.platform.vm_client import VmOrderAnswer
 from comfreywind.scheduling.maintenance_keeper import MaintenanceKeeper
