Reckon with the longest lease of runs on a target that has restarted

Change: a report of a target that may have restarted sets the end of its lease to the longest one, counted from the report, and later by the time in which orders arrive late if the report was not requested with the latest fence. The limit is that of the settings (`hold_max_ms`), not a constant.

Test: test_lease_on_earlier_clock; before, the recorded end of the lease did not change at all.

--- a/comfreywind/decisions/scheduling/open_start.py
+++ b/comfreywind/decisions/scheduling/open_start.py
@@ -4,12 +4,22 @@
 
 # The users' targets may carry out an order this long after it was sent.
 ORDER_DELAY_LIMIT_S = 12.0
-# A run that nobody extends ends with the longest lease that the platform allows, on a clock that may
-# be slow, after the last order that was sent to its target.
-LEASE_LIMIT_S = 6.0
 CLOCK_DRIFT_RATIO = 1.02
 MARGIN_S = 0.4
-OPEN_START_S = ORDER_DELAY_LIMIT_S + LEASE_LIMIT_S * CLOCK_DRIFT_RATIO + MARGIN_S
+DEFAULT_LEASE_LIMIT_S = 6.0
+
+
+def compute_longest_lease_s(lease_limit_s: float) -> float:
+    """Return how long a lease may last on the holder's clock, whichever end its order names.
+
+    A target shortens a longer lease to `lease_limit_s` on its own clock, which may be slow.
+    """
+    return lease_limit_s * CLOCK_DRIFT_RATIO + MARGIN_S
+
+
+def compute_late_lease_s(lease_limit_s: float) -> float:
+    """Return how long after its sending an order may keep a run alive that nobody else extends."""
+    return ORDER_DELAY_LIMIT_S + compute_longest_lease_s(lease_limit_s)
 
 
 @dataclass(slots=True)
@@ -27,9 +37,10 @@
     silent_s: float
     run_ids: set[int] = field(default_factory=set)
 
-    def is_open(self, now_s: float) -> bool:
+    def is_open(self, now_s: float, lease_limit_s: float) -> bool:
         """Return whether one of the orders may still be carried out, or its run may still exist."""
-        return bool(self.run_ids) and now_s < max(self.sent_s, self.silent_s) + OPEN_START_S
+        last_s = max(self.sent_s, self.silent_s)
+        return bool(self.run_ids) and now_s < last_s + compute_late_lease_s(lease_limit_s)
 
     def is_settled_by(self, requested_s: float) -> bool:
         """Return whether a complete report that was requested then shows what became of them."""
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -88,7 +88,7 @@
         self._rules = rules
         self._keeper = keeper
         self._clock = clock
-        self.scheduler_state = SchedulerState(term.first_fence)
+        self.scheduler_state = SchedulerState(term.first_fence, settings.timings.lease_limit_s)
         self._planner = Planner(self.scheduler_state, metrics=metrics)
         self.journal = ProgressJournal(rows, self.scheduler_state)
         self._reservations = OrderReservations(
--- a/comfreywind/scheduling/open_starts.py
+++ b/comfreywind/scheduling/open_starts.py
@@ -10,8 +10,9 @@
 class OpenStarts:
     """Records which targets may still carry out a start order of a task."""
 
-    def __init__(self) -> None:
-        """Start without open starts."""
+    def __init__(self, lease_limit_s: float) -> None:
+        """Start without open starts; `lease_limit_s` is the longest lease that targets grant."""
+        self._lease_limit_s = lease_limit_s
         self._by_key: dict[TaskKey, OpenStart] = {}
 
     def add(self, run: RunRecord, sent_s: float) -> None:
@@ -61,7 +62,7 @@
         known = self._by_key.get(key)
         if known is None:
             return None
-        if known.is_open(now_s):
+        if known.is_open(now_s, self._lease_limit_s):
             return known.target_id
         del self._by_key[key]
         return None
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -10,6 +10,11 @@
 
 from comfreywind.decisions.scheduling.crash_blame import StartEvidence
 from comfreywind.decisions.scheduling.fences import FENCES_PER_TERM
+from comfreywind.decisions.scheduling.open_start import (
+    DEFAULT_LEASE_LIMIT_S,
+    compute_late_lease_s,
+    compute_longest_lease_s,
+)
 from comfreywind.decisions.scheduling.pace import choose_pace
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
@@ -72,8 +77,13 @@
     holders, or None while there is no bound.
     """
 
-    def __init__(self, first_fence: int) -> None:
-        """Start a term with no jobs, targets or runs; `first_fence` is the lowest of its fences."""
+    def __init__(self, first_fence: int, lease_limit_s: float = DEFAULT_LEASE_LIMIT_S) -> None:
+        """Start a term with no jobs, targets or runs.
+
+        `first_fence` is the lowest fence of the term, `lease_limit_s` the longest lease that targets
+        grant.
+        """
+        self._lease_limit_s = lease_limit_s
         self.first_fence = first_fence
         self.last_fence = first_fence + FENCES_PER_TERM - 1
         self.rules: JobRules = JobRules(0)
@@ -86,7 +96,7 @@
         self.changed_jobs: dict[str, JobRecord] = {}
         self.early_cancels: set[str] = set()
         self.added_jobs_count = 0
-        self.open_starts = OpenStarts()
+        self.open_starts = OpenStarts(lease_limit_s)
         self._closing: dict[str, JobRecord] = {}
 
     # Rows of the store
@@ -235,6 +245,7 @@
             _apply_progress(record.runs.get(active.key), active, now_s)
         orders.extend(self._pace_best_effort_runs(record))
         if not record.fenced:
+            self._reckon_unknown_lease(record, fence, now_s)
             if fence == record.fence:
                 self._confirm_incarnation(record, report, listed_keys)
             return orders
@@ -441,6 +452,19 @@
             )
             record.raise_fence()
 
+    def _reckon_unknown_lease(self, record: TargetRecord, fence: int, now_s: float) -> None:
+        """Record until when the runs of a target may live that may have restarted.
+
+        Their lease may have come from an order with a time on the clock of an earlier incarnation.
+        Without the latest fence, another one may still arrive.
+        """
+        if not record.runs:
+            return
+        if fence == record.fence:
+            record.lease_end_s = now_s + compute_longest_lease_s(self._lease_limit_s)
+        else:
+            record.lease_end_s = now_s + compute_late_lease_s(self._lease_limit_s)
+
     def _confirm_incarnation(
         self, record: TargetRecord, report: TargetReport, listed_keys: set[TaskKey]
     ) -> None:
--- a/comfreywind/stand_ins/jobs/target_app.py
+++ b/comfreywind/stand_ins/jobs/target_app.py
@@ -92,7 +92,7 @@
         if path == '/v1/run-start':
             await self._start(order, send)
         elif path == '/v1/run-stop':
-            self._end(order['task_id'], order['run_id'], 'stopped')
+            self._end(order['task_id'], order['run_id'], 'stopped', trio.current_time())
             await self._reply(send, 200, {})
         elif path == '/v1/hold':
             await self._hold(order, send)
@@ -101,6 +101,7 @@
 
     def restart(self) -> None:
         """Begin a new incarnation under the same id, which knows nothing of the one before."""
+        self._end_runs()
         now_s = trio.current_time()
         for task, run in self.runs.items():
             self.log.ended_s[task, run.run_id, run.started_s] = now_s
@@ -151,18 +152,21 @@
 
     def _end_runs(self) -> None:
         now_s = trio.current_time()
+        lapse_s = self._zero_s + self.lease_end_ms / MS_PER_S
         for task, run in list(self.runs.items()):
-            if self._read_clock_ms() > self.lease_end_ms:
-                self._end(task, run.run_id, 'lapsed')
-            elif now_s >= run.ends_s:
+            if min(lapse_s, run.ends_s) > now_s:
+                continue
+            if lapse_s < run.ends_s:
+                self._end(task, run.run_id, 'lapsed', lapse_s)
+            else:
                 how = 'failed' if 'fail' in self._specs[task] else 'done'
-                self._end(task, run.run_id, how)
+                self._end(task, run.run_id, how, run.ends_s)
 
-    def _end(self, task: str, run_id: int, how: str) -> None:
+    def _end(self, task: str, run_id: int, how: str, ended_s: float) -> None:
         run = self.runs.get(task)
         if run is not None and run.run_id <= run_id:
             del self.runs[task]
-            self.log.ended_s[task, run.run_id, run.started_s] = trio.current_time()
+            self.log.ended_s[task, run.run_id, run.started_s] = ended_s
             self.ended.append([len(self.ended) + 1, task, run.run_id, how, ''])
 
     async def _reply(self, send: Send, status: int, document: dict[str, Any]) -> None:
--- a/tests/scheduling/test_open_starts.py
+++ b/tests/scheduling/test_open_starts.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from comfreywind.decisions.scheduling.open_start import OPEN_START_S, ORDER_DELAY_LIMIT_S
+from comfreywind.decisions.scheduling.open_start import (
+    DEFAULT_LEASE_LIMIT_S,
+    ORDER_DELAY_LIMIT_S,
+    compute_late_lease_s,
+)
 from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.run_report import RunOutcome
 from comfreywind.jobs.start_answer import StartAnswer
@@ -13,6 +17,7 @@
 from comfreywind.scheduling.orders import Order, StartOrder
 from tests.helpers.scheduler_harness import JOB_ID, SchedulerHarness, list_stops, make_job
 
+OPEN_START_S = compute_late_lease_s(DEFAULT_LEASE_LIMIT_S)
 STEP = Step(1, Resources(1000, 100), estimate_ms=1000)
 
 
--- a/tests/scheduling/test_restarted_target.py
+++ b/tests/scheduling/test_restarted_target.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from comfreywind.decisions.scheduling.open_start import ORDER_DELAY_LIMIT_S
 from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.jobs.start_reply import StartReply
@@ -125,3 +126,22 @@
         harness.restart('t0')
     assert record.fence > fence
     assert not state.is_ordered(orders[1])
+
+
+# Guards against a second run of tasks that a restarted target runs for longer than the holder
+# expects: their order named a time on the clock of the incarnation before (TWICE).
+@pytest.mark.parametrize('lease_limit_s', [3.0, 6.0, 20.0])
+@pytest.mark.parametrize('fenced', [True, False])
+def test_lease_on_earlier_clock(lease_limit_s: float, fenced: bool) -> None:
+    """Waits for the longest lease, and for late orders unless these are refused already."""
+    harness, orders = order_tasks()
+    harness.scheduler_state._lease_limit_s = lease_limit_s
+    record = harness.scheduler_state.targets['t0']
+    active = tuple((order.key, order.run_id) for order in orders)
+    harness.report('t0', active, incarnation_start_ms=2, fence=record.fence)
+    if fenced:
+        harness.report('t0', active)
+    delay_limit_s = 0 if fenced else ORDER_DELAY_LIMIT_S
+    wait_s = record.lease_end_s - harness.now_s
+    assert wait_s >= 1.02 * lease_limit_s + delay_limit_s
+    assert wait_s < 1.02 * lease_limit_s + delay_limit_s + 1
