Abandon the poll of an incarnation that has ended

Callers' tasks waited for up to 1.8 s after the restart of their target: the registration told of it, but the poll that the dead incarnation had been asked stayed open until its timeout, and only the next one carries the raised fence. All that time orders sent before could still be carried out.

Change: a raised fence ends the poll under way. A target whose reports are older than its registration is polled at an interval, not in a loop.

Test: test_restart_ends_poll; before, the new incarnation was asked after the 60 s that the fake keeps the earlier poll open. test_report_of_earlier_incarnation ran into the loop while it was written.

--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -20,6 +20,7 @@
     TABLE_INTAKE,
     TABLE_PROGRESS,
 )
+from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.metrics import Metrics
 from comfreywind.platform.advice_client import AdviceClient
 from comfreywind.platform.concurrent_calls import run_concurrently
@@ -343,13 +344,20 @@
         if entry is None:
             return
         if record is None or record.entry != entry or record.leaving:
-            record = self.scheduler_state.register_target(entry)
-            record.leaving = False
-            self._wake.set()
+            self._register(entry)
         if row.key not in self._links:
             self._start_link(row.key)
-        elif not record.fenced:
-            self._links[row.key].wake()
+
+    def _register(self, entry: TargetEntry) -> None:
+        """Add or update a target, and poll one that has restarted under its id."""
+        known = self.scheduler_state.targets.get(entry.target_id)
+        fence = None if known is None else known.fence
+        record = self.scheduler_state.register_target(entry)
+        record.leaving = False
+        self._wake.set()
+        link = self._links.get(entry.target_id)
+        if link is not None and record.fence != fence:
+            link.poll_anew()
 
     def _start_link(self, target_id: str) -> None:
         record = self.scheduler_state.targets[target_id]
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -40,6 +40,8 @@
 # A target without runs is polled less often, because only its reports after a silence matter.
 IDLE_POLL_INTERVAL_S = 2.5
 SILENT_RETRY_INTERVAL_S = 0.3
+# A target that has restarted replies to the raised fence, but its report may be incomplete.
+UNFENCED_RETRY_INTERVAL_S = 0.1
 # Upper bound of the exponential backoff for a silent target without runs, whose VM has usually been
 # moved.
 MAX_SILENT_RETRY_INTERVAL_S = 2.4
@@ -80,6 +82,8 @@
         self._submit_orders = submit_orders
         self._silent_retry_s = SILENT_RETRY_INTERVAL_S
         self._wake = trio.Event()
+        self._poll_scope = trio.CancelScope()
+        self._polled_fence: int | None = None
 
     async def run(self) -> None:
         """Poll the target and extend its lease until it is gone or another holder took over.
@@ -88,7 +92,7 @@
         """
         target_id = self._record.entry.target_id
         try:
-            while self._has_fence() and await self._poll():
+            while self._has_fence() and await self._poll_unless_abandoned():
                 await self._pause()
         except TargetReplacedError as error:
             log.info('target %s: replaced, its link and its runs end: %s', target_id, error)
@@ -101,7 +105,15 @@
                 await self._client.close()
 
     def wake(self) -> None:
-        """Have the target polled soon, because it has new runs or has restarted."""
+        """Have the target polled soon, because it has new runs."""
+        self._wake.set()
+
+    def poll_anew(self) -> None:
+        """Abandon the poll under way, and poll with the fence that was raised since.
+
+        A target that has restarted may leave the earlier poll open until its timeout.
+        """
+        self._poll_scope.cancel()
         self._wake.set()
 
     async def send(self, order: Order) -> None:
@@ -154,8 +166,11 @@
         self._metrics.count(f'starts.{reply.answer.value}')
         if reply.answer is StartAnswer.FENCED:
             self._handle_higher_fence(fence)
+        orders = self._state.apply_start_answer(order, reply, self._clock.read_monotonic_s())
         self._wake.set()
-        return self._state.apply_start_answer(order, reply, self._clock.read_monotonic_s())
+        if fence < self._record.fence and not self._record.fenced:
+            self.poll_anew()
+        return orders
 
     @_send.register
     async def _send_stop(self, order: StopOrder) -> list[Order]:
@@ -180,6 +195,12 @@
         self._keeper.step_down(f'target {self._record.entry.target_id} needs a higher fence')
         return False
 
+    async def _poll_unless_abandoned(self) -> bool:
+        self._poll_scope = trio.CancelScope()
+        with self._poll_scope:
+            return await self._poll()
+        return True
+
     async def _poll(self) -> bool:
         """Request one report; return False when the link has to end."""
         requested_s = self._clock.read_monotonic_s()
@@ -190,6 +211,7 @@
         wait_ms = self._choose_wait_ms()
         incarnation_start_ms = self._record.incarnation_start_ms
         fence = self._record.fence
+        self._polled_fence = fence
         acknowledged = self._record.acknowledged_number
         # Without a valid term nothing more is acknowledged: a successor may not have read the
         # progress of these ends.
@@ -267,6 +289,9 @@
         if record.applied_number > record.stored_number:
             await self._journal.wait_until_stored(MAX_STORE_WAIT_S)
             return
+        if not record.fenced and self._polled_fence == record.fence:
+            await self._wait_for_wake(UNFENCED_RETRY_INTERVAL_S)
+            return
         if record.runs or not record.fenced:
             return
         await self._wait_for_wake(IDLE_POLL_INTERVAL_S)
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -8,6 +8,8 @@
 
 from comfreywind.errors import TargetReplacedError, TargetSilentError
 from comfreywind.jobs.run_report import RunOutcome, TargetReport
+from comfreywind.jobs.start_answer import StartAnswer
+from comfreywind.jobs.start_reply import StartReply
 from comfreywind.metrics import NoMetrics
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.scheduling.orders import Order
@@ -26,16 +28,22 @@
         self.harness = harness
         self.failure: Exception | None = None
         self.expiries: list[int | None] = []
+        self.answer_after_s = 0.0
+        self.born_ms = 1
+
+    async def start(self, *_: object) -> StartReply:
+        """Confirm a start."""
+        return StartReply(StartAnswer.STARTED, incarnation_start_ms=self.born_ms)
 
     async def hold(
         self, fence: int, last_seen: int, expires_ms: int | None, wait_ms: int
     ) -> TargetReport:
         """Answer one hold request after its wait."""
-        await trio.sleep(wait_ms / 1000)
+        await trio.sleep(wait_ms / 1000 + self.answer_after_s)
         if self.failure is not None:
             raise self.failure
         self.expiries.append(expires_ms)
-        return TargetReport(int(trio.current_time() * 1000), 1, (), ())
+        return TargetReport(int(trio.current_time() * 1000), self.born_ms, (), ())
 
     async def close(self) -> None:
         """Close nothing."""
@@ -264,3 +272,42 @@
         await link.run()
     assert term.reasons
     assert max(client.fences) == harness.scheduler_state.last_fence
+
+
+# Guards against tasks that wait for a second after the restart of their target, because the poll of
+# the incarnation before is open until its timeout.
+@pytest.mark.parametrize('told_by', ['registration', 'reply'])
+async def test_restart_ends_poll(autojump_clock: trio.testing.MockClock, told_by: str) -> None:
+    """Polls a target that has restarted at once, although an earlier poll is still open."""
+    harness = SchedulerHarness(targets=1)
+    client = FakeTarget(harness)
+    async with trio.open_nursery() as nursery:
+        link = make_link(harness, client)
+        nursery.start_soon(link.run)
+        await trio.sleep(0.5)
+        client.answer_after_s = 60
+        link.wake()
+        await trio.sleep(0.1)
+        client.answer_after_s = 0
+        client.born_ms = 2
+        if told_by == 'registration':
+            harness.register('t0', incarnation_start_ms=2)
+            link.poll_anew()
+        else:
+            harness.add_job()
+            (order,) = harness.plan()
+            await link.send(order)
+        await trio.sleep(0.1)
+        assert harness.scheduler_state.targets['t0'].fenced
+        nursery.cancel_scope.cancel()
+
+
+async def test_report_of_earlier_incarnation(autojump_clock: trio.testing.MockClock) -> None:
+    """Polls a target at an interval whose reports are older than its registration."""
+    harness = SchedulerHarness(targets=1)
+    client = FakeTarget(harness)
+    link = make_link(harness, client)
+    harness.register('t0', incarnation_start_ms=2)
+    with trio.move_on_after(2):
+        await link.run()
+    assert 2 < len(client.expiries) < 30
