Acknowledge each end of a run once

Callers could see a task run twice or its job never end (TWICE, LOST) when a target had started again under its id: the polls of an idle target repeated `last_seen`, a number of the incarnation before. The new one takes it for ends of its own and forgets up to that many that nobody has read.

Cause: numbers of ends begin anew with each incarnation, and nothing in the call tells the two apart. The holder repeated the number of the last stored end in every poll, also long after the target had forgotten that end.

Change: an end is acknowledged until a reply shows that the target has taken note, and then no more. A poll without a reply no longer counts as an acknowledgement. What is left: a poll that acknowledges ends while its target restarts and has carried out and ended a start of the same instant.

Test: test_ends_acknowledged_once, which failed before (each poll had the number 7).

--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -212,15 +212,12 @@
         incarnation_start_ms = self._record.incarnation_start_ms
         fence = self._record.fence
         self._polled_fence = fence
-        acknowledged = self._record.acknowledged_number
         # Without a valid term nothing more is acknowledged: a successor may not have read the
         # progress of these ends.
-        if extends_lease:
-            acknowledged = self._record.stored_number
+        acknowledged = self._choose_acknowledged() if extends_lease else 0
         try:
             report = await self._client.hold(fence, acknowledged, expires_ms, wait_ms)
         except TargetSilentError as error:
-            self._record_acknowledged(incarnation_start_ms, acknowledged)
             return self._handle_silence(error)
         except CallNotPermittedError as error:
             log.info('target %s: not polled: %s', self._record.entry.target_id, error)
@@ -239,7 +236,16 @@
     def _record_acknowledged(self, incarnation_start_ms: int, number: int) -> None:
         """Record what was acknowledged, unless the target has restarted during the call."""
         if self._record.incarnation_start_ms == incarnation_start_ms:
-            self._record.acknowledged_number = number
+            self._record.acknowledged_number = max(self._record.acknowledged_number, number)
+
+    def _choose_acknowledged(self) -> int:
+        """Return the number of the last end to acknowledge, or 0 if none is left.
+
+        Each end is acknowledged once. A target that has restarted since would take the same number
+        for ends of its own, which nobody has read.
+        """
+        number = self._record.stored_number
+        return number if number > self._record.acknowledged_number else 0
 
     def _handle_higher_fence(self, fence: int) -> bool:
         """Drop the term if a target has refused the latest fence, and return whether it has.
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -30,6 +30,7 @@
         self.expiries: list[int | None] = []
         self.answer_after_s = 0.0
         self.born_ms = 1
+        self.acknowledged: list[int] = []
 
     async def start(self, *_: object) -> StartReply:
         """Confirm a start."""
@@ -39,6 +40,7 @@
         self, fence: int, last_seen: int, expires_ms: int | None, wait_ms: int
     ) -> TargetReport:
         """Answer one hold request after its wait."""
+        self.acknowledged.append(last_seen)
         await trio.sleep(wait_ms / 1000 + self.answer_after_s)
         if self.failure is not None:
             raise self.failure
@@ -311,3 +313,27 @@
     with trio.move_on_after(2):
         await link.run()
     assert 2 < len(client.expiries) < 30
+
+
+# Guards against ends that a restarted target forgets before they are read (LOST, TWICE): each poll
+# repeated the numbers of the incarnation before.
+async def test_ends_acknowledged_once(autojump_clock: trio.testing.MockClock) -> None:
+    """Acknowledges an end until a reply shows that the target knows, and not again."""
+    harness = SchedulerHarness(targets=1)
+    client = FakeTarget(harness)
+    record = harness.scheduler_state.targets['t0']
+    link = make_link(harness, client)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        await trio.sleep(0.5)
+        record.applied_number = record.stored_number = 7
+        client.failure = TargetSilentError('silent')
+        link.wake()
+        await trio.sleep(1)
+        client.failure = None
+        await trio.sleep(4)
+        client.acknowledged.clear()
+        await trio.sleep(10)
+        nursery.cancel_scope.cancel()
+    assert record.acknowledged_number == 7
+    assert set(client.acknowledged) == {0}
