Keep start orders without a reply for the next holder

Callers could see a task run twice at the same time (TWICE) when the holder was killed while start orders were late: the next one doesn't know them, starts their tasks elsewhere as soon as their target has told it that they don't run, and an incarnation that it has not called yet carries them out.

Cause: which orders may still be carried out was known to the holder's memory only. The fence of the next holder shuts them out in the incarnation that has replied to it, not in a later one.

Change: the holder stores its open starts in a row beside the target registry, when an order stays without a reply, so rarely; nodes of the earlier version don't read the row. The next holder binds these tasks to their target as if the orders had been sent at the takeover.

Left: orders that are less than about 0.9 s old when their holder is lost, because until then the reply is still awaited. Waiting after each takeover for what such an order could do would hold up every older job for 12 s.

--- a/comfreywind/jobs/tables.py
+++ b/comfreywind/jobs/tables.py
@@ -16,6 +16,7 @@
 HOLDER_PARTITION = 'holder'
 TARGET_REGISTRY_KEY = 'roster'
 ORDER_RESERVATIONS_KEY = 'orders'
+OPEN_STARTS_KEY = 'open-starts'
 CANCEL_SUFFIX = ':cancel'
 # Callers submit up to 60 jobs/s, each in its own transaction. A store that is 100 times slower than
 # usual runs two transactions/s in a partition, so 32 partitions just take that rate.
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -33,6 +33,7 @@
 from comfreywind.scheduling.advice_keeper import AdviceKeeper
 from comfreywind.scheduling.job_retention import RETENTION_MARGIN_S, JobRetention
 from comfreywind.scheduling.maintenance_keeper import MaintenanceKeeper
+from comfreywind.scheduling.open_start_keeper import OpenStartKeeper
 from comfreywind.scheduling.order_reservations import OrderReservations
 from comfreywind.scheduling.orders import Order
 from comfreywind.scheduling.planner import Planner
@@ -105,6 +106,9 @@
         self._registry = TargetRegistry(
             rows, self.scheduler_state, clock, self._wake_planner, self._may_order
         )
+        self._open_starts = OpenStartKeeper(
+            rows, self.scheduler_state.open_starts, clock, self._may_order
+        )
         self._reconciliation = Reconciliation(
             term, rows, self.scheduler_state, self.journal, self._registry, clock, self._is_gone
         )
@@ -158,6 +162,7 @@
             self._start('tick', partial(self._tick, intake))
             self._start('levels', self._report_levels)
             self._start('roster', self._registry.run)
+            self._start('open starts', self._open_starts.run)
             self._start('retention', self._retention.run)
             self._start('settling', partial(self._reconciliation.run, self._wake_planner))
             if self._settings.advice_address is not None:
@@ -219,7 +224,15 @@
                 return
 
     async def _read_state(self) -> None:
-        await run_concurrently((self._read_progress, self._registry.load, self._reservations.load))
+        load_open_starts = partial(self._open_starts.load, self._term.taken_s)
+        await run_concurrently(
+            (
+                self._read_progress,
+                self._registry.load,
+                self._reservations.load,
+                load_open_starts,
+            )
+        )
 
     async def _read_progress(self) -> None:
         for page in await self._rows.read_partitions(TABLE_PROGRESS, PROGRESS_PARTITIONS):
--- a/comfreywind/scheduling/open_starts.py
+++ b/comfreywind/scheduling/open_starts.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 
+import trio
+
 from comfreywind.decisions.scheduling.open_start import OpenStart
 from comfreywind.jobs.task_key import TaskKey
-from comfreywind.scheduling.run_record import RunRecord
 
 
 class OpenStarts:
@@ -13,35 +14,46 @@
     def __init__(self, lease_limit_s: float) -> None:
         """Start without open starts; `lease_limit_s` is the longest lease that targets grant."""
         self._lease_limit_s = lease_limit_s
-        self._by_key: dict[TaskKey, OpenStart] = {}
-
-    def add(self, run: RunRecord, sent_s: float) -> None:
-        """Record that there is no reply to the start order of a run, sent at `sent_s` or before."""
-        known = self._by_key.get(run.key)
-        if known is None or known.target_id != run.target_id:
-            known = OpenStart(run.target_id, sent_s, sent_s)
-            self._by_key[run.key] = known
-        known.run_ids.add(run.run_id)
+        self.by_key: dict[TaskKey, OpenStart] = {}
+        self._added = trio.Event()
+
+    def add(self, key: TaskKey, target_id: str, run_id: int, sent_s: float) -> None:
+        """Record that there is no reply to a start order, sent at `sent_s` or before."""
+        known = self.by_key.get(key)
+        if known is None or known.target_id != target_id:
+            known = OpenStart(target_id, sent_s, sent_s)
+            self.by_key[key] = known
+        known.run_ids.add(run_id)
         known.sent_s = max(known.sent_s, sent_s)
+        self._added.set()
+
+    async def wait_for_addition(self) -> None:
+        """Return when an order was added since the last call."""
+        await self._added.wait()
+        self._added = trio.Event()
 
     def extend(self, key: TaskKey, run_id: int, sent_s: float) -> None:
         """Record that an order that is open already was sent as late as that."""
-        known = self._by_key.get(key)
+        known = self.by_key.get(key)
         if known is not None and run_id in known.run_ids:
             known.sent_s = max(known.sent_s, sent_s)
 
     def close(self, key: TaskKey, run_id: int) -> None:
         """Record that it is known what became of an order."""
-        known = self._by_key.get(key)
+        known = self.by_key.get(key)
         if known is None:
             return
         known.run_ids.discard(run_id)
         if not known.run_ids:
-            del self._by_key[key]
+            del self.by_key[key]
+
+    def drop_expired(self, now_s: float) -> None:
+        """Forget the orders that can't take effect any more."""
+        self._drop(lambda known: not known.is_open(now_s, self._lease_limit_s))
 
     def note_silence(self, target_id: str, now_s: float) -> None:
         """Record that a target has stopped replying."""
-        for known in self._by_key.values():
+        for known in self.by_key.values():
             if known.target_id == target_id:
                 known.silent_s = now_s
 
@@ -55,17 +67,17 @@
 
     def close_job(self, job_id: str) -> None:
         """Close the orders of a job that is dropped."""
-        self._by_key = {key: known for key, known in self._by_key.items() if key.job_id != job_id}
+        self.by_key = {key: known for key, known in self.by_key.items() if key.job_id != job_id}
 
     def find_target(self, key: TaskKey, now_s: float) -> str | None:
         """Return the only target on which the task may be started now, or None if all may be."""
-        known = self._by_key.get(key)
+        known = self.by_key.get(key)
         if known is None:
             return None
         if known.is_open(now_s, self._lease_limit_s):
             return known.target_id
-        del self._by_key[key]
+        del self.by_key[key]
         return None
 
     def _drop(self, is_closed: Callable[[OpenStart], bool]) -> None:
-        self._by_key = {key: known for key, known in self._by_key.items() if not is_closed(known)}
+        self.by_key = {key: known for key, known in self.by_key.items() if not is_closed(known)}
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -433,7 +433,7 @@
         elif run is None:
             self.open_starts.extend(order.key, order.run_id, now_s)
         elif order.key.job_id in self.jobs:
-            self.open_starts.add(run, now_s)
+            self.open_starts.add(run.key, run.target_id, run.run_id, now_s)
 
     def _check_incarnation(
         self, record: TargetRecord, order: StartOrder, reply: StartReply, now_s: float
@@ -444,7 +444,7 @@
         run = self._get_run(order.target_id, order.key, order.run_id)
         if run is not None:
             # A target that has restarted counts the lease from a clock that the order doesn't know.
-            self.open_starts.add(run, now_s)
+            self.open_starts.add(run.key, run.target_id, run.run_id, now_s)
         if record.fenced:
             log.info(
                 'target %s: it may have restarted, as its reply to a start tells another clock',
@@ -502,7 +502,7 @@
         """Drop runs that have certainly ended, and requeue their tasks."""
         for run in tuple(runs):
             if run.may_be_unanswered and run.key.job_id in self.jobs:
-                self.open_starts.add(run, run.started_s)
+                self.open_starts.add(run.key, run.target_id, run.run_id, run.started_s)
             self.discard_run(run)
             self.requeue(run.key)
 
--- a/tests/field_faults/test_restarted_target.py
+++ b/tests/field_faults/test_restarted_target.py
@@ -106,3 +106,23 @@
             while await fleet.read_state(0, LATE_JOB) != 'complete':
                 await trio.sleep(0.1)
     assert not fleet.log.list_doubles()
+
+
+# Guards against a second run of tasks whose order was sent by an earlier holder and is carried out
+# late, by an incarnation that the present holder has not called yet (TWICE).
+async def test_late_order_of_earlier_holder() -> None:
+    """Starts no task elsewhere after a change of the holder while its order may still arrive."""
+    async with run_job_fleet(node_count=1, target_count=3) as fleet:
+        target = fleet.targets[await find_used_target(fleet)]
+        target.late_s = 6.0
+        assert await fleet.submit(0, LATE_JOB, 'work_s=6', count=14) == 200
+        sent_s = trio.current_time()
+        # The replies are due within 0.8 s.
+        await trio.sleep(1.5)
+        fleet.scopes[0].cancel()
+        target.late_s = 0
+        async with fleet.run_node('node-7') as node:
+            await trio.sleep_until(sent_s + 5.9)
+            target.restart()
+            await fleet.wait_for_state(node, LATE_JOB, 'complete')
+        assert not fleet.log.list_doubles()
