Record the run that a restarted target lists, not the one that it has lost

A task that was started twice on the same target, first by an order that was carried out late, counted as running with the later run after a restart, while the earlier one went on: it was taken for stalled and stopped after 1 s, or, if it lasts, was not restarted after its end until the next report.

Cause: reports were compared by task, not by task and run id. Evidence: the log of a whole fleet in which the late order arrived after the second restart ("no progress on target i-0" for four tasks).

Change: the first report with the raised fence is compared by run; a recorded run that it lacks is lost, and the listed one is adopted in its place.

Test: test_late_order_takes_place_of_lost_run, which failed before in both cases.

--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -247,7 +247,7 @@
         if not record.fenced:
             self._reckon_unknown_lease(record, fence, now_s)
             if fence == record.fence:
-                self._confirm_incarnation(record, report, listed_keys)
+                orders.extend(self._confirm_incarnation(record, report, now_s))
             return orders
         record.heard_s = now_s
         record.lapsed_runs = ()
@@ -466,15 +466,17 @@
             record.lease_end_s = now_s + compute_late_lease_s(self._lease_limit_s)
 
     def _confirm_incarnation(
-        self, record: TargetRecord, report: TargetReport, listed_keys: set[TaskKey]
-    ) -> None:
+        self, record: TargetRecord, report: TargetReport, now_s: float
+    ) -> list[Order]:
         """Requeue the runs that the target has lost, now that no earlier order takes effect there.
 
+        An order that was carried out late may have started an earlier run of a task that is lost.
         Runs that an incomplete report doesn't show may have ended.
         """
-        missing = [run for run in record.runs.values() if run.key not in listed_keys]
+        listed = {(active.key, active.run_id) for active in report.active}
+        missing = [run for run in record.runs.values() if (run.key, run.run_id) not in listed]
         if missing and not report.complete:
-            return
+            return []
         if record.restarted:
             self._blame_crash(record, missing)
         record.fenced = True
@@ -487,6 +489,10 @@
                 len(missing),
             )
         self._drop_runs(missing)
+        orders: list[Order] = []
+        for key, run_id in listed:
+            orders.extend(self._apply_active(record, key, run_id, now_s))
+        return orders
 
     def _blame_crash(self, record: TargetRecord, ended: Iterable[RunRecord]) -> None:
         """Blame tasks for the end of an incarnation if it has crashed.
--- a/tests/scheduling/test_restarted_target.py
+++ b/tests/scheduling/test_restarted_target.py
@@ -4,6 +4,7 @@
 
 from comfreywind.decisions.scheduling.open_start import ORDER_DELAY_LIMIT_S
 from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.run_report import RunOutcome
 from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.jobs.start_reply import StartReply
 from comfreywind.jobs.step import Step
@@ -145,3 +146,26 @@
     wait_s = record.lease_end_s - harness.now_s
     assert wait_s >= 1.02 * lease_limit_s + delay_limit_s
     assert wait_s < 1.02 * lease_limit_s + delay_limit_s + 1
+
+
+# Guards against a task that counts as running with a run that was lost, while an earlier run of it
+# is going on.
+@pytest.mark.parametrize('long_running', [True, False])
+def test_late_order_takes_place_of_lost_run(long_running: bool) -> None:
+    """Records the run that a restarted target lists, not the later one that it has lost."""
+    harness = SchedulerHarness(targets=1)
+    harness.add_job(make_job(Step(1, Resources(1000, 100), long_running=long_running)))
+    (first,) = harness.plan()
+    assert isinstance(first, StartOrder)
+    harness.answer(first, StartAnswer.UNKNOWN)
+    harness.restart('t0')
+    (second,) = harness.start()
+    harness.report('t0', ((second.key, second.run_id),))
+    harness.register('t0', incarnation_start_ms=3)
+    harness.report('t0', ((first.key, first.run_id),))
+    record = harness.scheduler_state.targets['t0']
+    assert record.runs[first.key].run_id == first.run_id
+    assert not harness.plan()
+    harness.end(first, RunOutcome.LAPSED)
+    (third,) = harness.start()
+    assert third.run_id > second.run_id
