Keep the row of open starts within the limit of the store, and doubt no target without evidence

Found by reading the change as a whole. A reply to a start that tells neither a clock nor `born` raised the fence each time, and would have used up the fences of a term; it leaves the start open now, and the fence as it is.

Tests: test_more_than_a_row, and the case (None, 0) of test_reply_of_another_incarnation, which expected the raise.

--- a/comfreywind/jobs/start_reply.py
+++ b/comfreywind/jobs/start_reply.py
@@ -16,3 +16,8 @@
     answer: StartAnswer
     clock_ms: int | None = None
     incarnation_start_ms: int = 0
+
+    @property
+    def tells_incarnation(self) -> bool:
+        """Return whether the reply shows anything of the incarnation that has sent it."""
+        return self.clock_ms is not None or self.incarnation_start_ms > 0
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -107,7 +107,11 @@
             rows, self.scheduler_state, clock, self._wake_planner, self._may_order
         )
         self._open_starts = OpenStartKeeper(
-            rows, self.scheduler_state.open_starts, clock, self._may_order
+            rows,
+            self.scheduler_state.open_starts,
+            clock,
+            self._may_order,
+            settings.store_limits.row_bytes,
         )
         self._reconciliation = Reconciliation(
             term, rows, self.scheduler_state, self.journal, self._registry, clock, self._is_gone
--- a/comfreywind/scheduling/open_start_keeper.py
+++ b/comfreywind/scheduling/open_start_keeper.py
@@ -13,8 +13,8 @@
 from comfreywind.platform.stored_row import RowChange
 from comfreywind.scheduling.open_start_row import (
     StoredStarts,
+    choose_stored_starts,
     decode_open_starts,
-    describe_open_starts,
     encode_open_starts,
 )
 from comfreywind.scheduling.open_starts import OpenStarts
@@ -24,6 +24,8 @@
 # Closed orders are left in the row for this time; they only delay their tasks after a takeover.
 SHRINK_INTERVAL_S = 2.0
 RETRY_S = 0.15
+# Upper bound for one open start in the row: a task, a target and a few run ids.
+OPEN_START_BYTES = 128
 
 log = logging.getLogger('comfreywind.roster')
 
@@ -32,9 +34,19 @@
     """Owns the row of open starts: adds those of earlier holders, and stores those of this one."""
 
     def __init__(
-        self, rows: RowsClient, open_starts: OpenStarts, clock: Clock, permit: Permit
+        self,
+        rows: RowsClient,
+        open_starts: OpenStarts,
+        clock: Clock,
+        permit: Permit,
+        row_limit_bytes: int,
     ) -> None:
-        """Use the store's client; `permit` returns whether the term is still held."""
+        """Use the store's client; `permit` returns whether the term is still held.
+
+        `row_limit_bytes` is the largest row that the store accepts. Of more open starts than a row
+        holds, the earliest are left out.
+        """
+        self._limit = row_limit_bytes // OPEN_START_BYTES
         self._clock = clock
         self._rows = rows
         self._open_starts = open_starts
@@ -73,7 +85,7 @@
     async def _store(self) -> bool:
         """Write the row if it has to change; return whether the store has confirmed it."""
         self._open_starts.drop_expired(self._clock.read_monotonic_s())
-        to_store = describe_open_starts(self._open_starts.by_key)
+        to_store = choose_stored_starts(self._open_starts.by_key, self._limit)
         if to_store == self._stored:
             return True
         change = RowChange(TABLE_TERM, OPEN_STARTS_KEY, encode_open_starts(to_store), self._version)
--- a/comfreywind/scheduling/open_start_row.py
+++ b/comfreywind/scheduling/open_start_row.py
@@ -6,16 +6,26 @@
 from comfreywind.jobs.row_format import RowFormatError, wrap_row_errors
 from comfreywind.jobs.task_key import TaskKey, parse_task_key
 
+# Of a task whose starts stay unanswered again and again, the latest are stored.
+RUN_IDS_LIMIT = 4
+
 StoredStarts = frozenset[tuple[TaskKey, str, frozenset[int]]]
 
 
 def describe_open_starts(open_starts: dict[TaskKey, OpenStart]) -> StoredStarts:
-    """Return what the row tells of open starts: tasks, their targets and run ids."""
+    """Return what the row tells of open starts: tasks, their targets and latest run ids."""
     return frozenset(
-        (key, known.target_id, frozenset(known.run_ids)) for key, known in open_starts.items()
+        (key, known.target_id, frozenset(sorted(known.run_ids)[-RUN_IDS_LIMIT:]))
+        for key, known in open_starts.items()
     )
 
 
+def choose_stored_starts(open_starts: dict[TaskKey, OpenStart], limit: int) -> StoredStarts:
+    """Return what the row tells of at most `limit` open starts, those sent last."""
+    latest = sorted(open_starts.items(), key=lambda pair: pair[1].sent_s)[-limit:]
+    return describe_open_starts(dict(latest))
+
+
 def encode_open_starts(stored: StoredStarts) -> bytes:
     """Return the payload of the row."""
     packed: bytes = msgpack.packb(
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -445,7 +445,7 @@
         if run is not None:
             # A target that has restarted counts the lease from a clock that the order doesn't know.
             self.open_starts.add(run.key, run.target_id, run.run_id, now_s)
-        if record.fenced:
+        if record.fenced and reply.tells_incarnation:
             log.info(
                 'target %s: it may have restarted, as its reply to a start tells another clock',
                 record.entry.target_id,
--- a/tests/scheduling/test_open_start_keeper.py
+++ b/tests/scheduling/test_open_start_keeper.py
@@ -19,6 +19,7 @@
 KEY = TaskKey('00000000000000a1', 0, 1, 2)
 OTHER_KEY = KEY._replace(number=3)
 LEASE_LIMIT_S = 6.0
+ROW_BYTES = 16_384
 
 
 class OneRow:
@@ -53,7 +54,7 @@
     """Return the keeper of a new holder."""
     open_starts = OpenStarts(LEASE_LIMIT_S)
     rows = cast('RowsClient', row)
-    return OpenStartKeeper(rows, open_starts, TrioClock(), lambda: True), open_starts
+    return OpenStartKeeper(rows, open_starts, TrioClock(), lambda: True, ROW_BYTES), open_starts
 
 
 @pytest.mark.parametrize('faults', [[], ['down'], ['lost'], ['lost', 'down', 'lost']])
@@ -111,3 +112,23 @@
     await keeper.load(0)
     assert not open_starts.by_key
     assert 'unreadable' in caplog.text
+
+
+async def test_more_than_a_row(autojump_clock: trio.testing.MockClock) -> None:
+    """Stores the latest open starts when all of them make a row too large for the store."""
+    row = OneRow()
+    keeper, open_starts = make_keeper(row)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(keeper.run)
+        for number in range(1000):
+            for run_id in range(10):
+                target_id = 'i-0123456789abcdef'
+                open_starts.add(
+                    KEY._replace(number=number), target_id, 10**9 + run_id, number / 100
+                )
+        await trio.sleep(0.5)
+        nursery.cancel_scope.cancel()
+    stored = decode_open_starts(row.payload)
+    assert len(row.payload or b'') <= ROW_BYTES
+    assert len(stored) > 100
+    assert {key.number for key, *_ in stored} == set(range(1000 - len(stored), 1000))
--- a/tests/scheduling/test_restarted_target.py
+++ b/tests/scheduling/test_restarted_target.py
@@ -65,7 +65,7 @@
         (4_600, 0, True),
         (100, 0, False),
         (60_000, 0, False),
-        (None, 0, False),
+        (None, 0, True),
         (None, 1, True),
         (5_000, 2, False),
     ],
