--- a/tests/test_refusals_random.py
+++ b/tests/test_refusals_random.py
@@ -22,7 +22,8 @@
 
 NODES = 3
 ATTEMPTS = 4
-SEEDS = 300
+SEEDS = 6000
+SEEDS_PER_TEST = 1000
 WITHOUT_EFFECT = frozenset((429, 503))
 HEADERS = {b'host': b'jobs.example', b'authorization': b'Bearer key'}
 
@@ -127,11 +128,11 @@
 
 
 # Guards against a job that runs although each attempt of its caller was refused (REFUSED).
-@pytest.mark.parametrize('first_seed', range(0, SEEDS, 50))
+@pytest.mark.parametrize('first_seed', range(0, SEEDS, SEEDS_PER_TEST))
 async def test_refused_jobs_never_run(first_seed: int) -> None:
     """A job is stored only if an attempt was accepted or its outcome was left open."""
     stored = 0
-    for seed in range(first_seed, first_seed + 50):
+    for seed in range(first_seed, first_seed + SEEDS_PER_TEST):
         generator = random.Random(seed)
         table = Table()
         nodes = make_nodes(table, generator)
