Abandon one poll for a restart, not one for each reply that follows

Found by reading: with several starts on their way to a target that has restarted, each reply with the earlier fence ended the poll that would have confirmed the restart, and its connection. Now the reply does that raises the fence.

Test: test_one_poll_after_restart, which failed before.

--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -166,9 +166,10 @@
         self._metrics.count(f'starts.{reply.answer.value}')
         if reply.answer is StartAnswer.FENCED:
             self._handle_higher_fence(fence)
+        fence = self._record.fence
         orders = self._state.apply_start_answer(order, reply, self._clock.read_monotonic_s())
         self._wake.set()
-        if fence < self._record.fence and not self._record.fenced:
+        if self._record.fence > fence:
             self.poll_anew()
         return orders
 
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -35,8 +35,8 @@
     `fence` is that of all orders to the target now. `fenced` is set once the present incarnation has
     replied to a call with that fence: orders that were sent with a lower one no longer take effect
     there, and its report has shown which of them did. Until then, `restarted` tells that the
-    incarnation before has ended, with runs that may not be known to be lost. `clock_offset_ms` is the target's clock less
-    the holder's, or None before the present incarnation has told its clock.
+    incarnation before has ended, with runs that may not be known to be lost. `clock_offset_ms` is
+    the target's clock less the holder's, or None before the present incarnation has told its clock.
     """
 
     entry: TargetEntry
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -7,16 +7,18 @@
 import trio
 
 from comfreywind.errors import TargetReplacedError, TargetSilentError
+from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.run_report import RunOutcome, TargetReport
 from comfreywind.jobs.start_answer import StartAnswer
 from comfreywind.jobs.start_reply import StartReply
+from comfreywind.jobs.step import Step
 from comfreywind.metrics import NoMetrics
 from comfreywind.platform.target_client import TargetClient
 from comfreywind.scheduling.orders import Order
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.target_link import TargetLink
 from comfreywind.scheduling.term_keeper import TermKeeper
-from tests.helpers.scheduler_harness import SchedulerHarness
+from tests.helpers.scheduler_harness import SchedulerHarness, make_job
 from tests.helpers.trio_clock import TrioClock
 
 
@@ -30,10 +32,12 @@
         self.expiries: list[int | None] = []
         self.answer_after_s = 0.0
         self.born_ms = 1
+        self.start_after_s = 0.0
         self.acknowledged: list[int] = []
 
     async def start(self, *_: object) -> StartReply:
         """Confirm a start."""
+        await trio.sleep(self.start_after_s)
         return StartReply(StartAnswer.STARTED, incarnation_start_ms=self.born_ms)
 
     async def hold(
@@ -337,3 +341,24 @@
         nursery.cancel_scope.cancel()
     assert record.acknowledged_number == 7
     assert set(client.acknowledged) == {0}
+
+
+async def test_one_poll_after_restart(autojump_clock: trio.testing.MockClock) -> None:
+    """Abandons a poll for the first reply of a new incarnation only, not for each further one."""
+    harness = SchedulerHarness(targets=1, cpu=8000)
+    harness.add_job(make_job(Step(8, Resources(1000, 100))))
+    client = FakeTarget(harness)
+    async with trio.open_nursery() as nursery:
+        link = make_link(harness, client)
+        nursery.start_soon(link.run)
+        await trio.sleep(0.5)
+        client.born_ms, client.answer_after_s, client.start_after_s = 2, 0.02, 0.1
+        client.acknowledged.clear()
+        for order in harness.plan():
+            nursery.start_soon(link.send, order)
+            await trio.sleep(0.01)
+        await trio.sleep(0.5)
+        # The poll of before, and those with the raised fence.
+        assert len(client.acknowledged) <= 5
+        assert harness.scheduler_state.targets['t0'].fenced
+        nursery.cancel_scope.cancel()
