Start a soaked node once when two signals end the same process

Two signals that overlapped on one node both started it again, and the process that was forgotten outlived the test.

--- a/tests/helpers/soak_fleet.py
+++ b/tests/helpers/soak_fleet.py
@@ -64,15 +64,18 @@
 
     async def signal(self, number: int, pause_s: float) -> None:
         """Send a signal and start the process again if it ends; a stopped one goes on after a pause."""
-        self.process.send_signal(number)
+        process = self.process
+        process.send_signal(number)
         if number == signal.SIGSTOP:
             await trio.sleep(pause_s)
-            self.process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGCONT)
             return
-        while self.process.poll() is None:
+        while process.poll() is None:
             await trio.sleep(0.05)
         await trio.sleep(pause_s)
-        self.start()
+        # Another signal may have ended the same process.
+        if self.process is process:
+            self.start()
 
     def close(self) -> None:
         """End the process."""
