Start nothing in a data centre that the operator evacuates

The holder reads the keys below evacuate/ every 0.5 s and when the feed tells of a change. A start is planned, and sent, only by a copy that was requested at most 3 s ago (bound of 5 s less 1.6 s for the call and 0.4 s of margin); the permit is asked again when the connection is there. Before its first read a new holder starts nothing. Orders without a reply in that data centre are revoked by a raised fence, since a target may carry them out up to 12 s later.

Ruled out: relying on the feed's confirmations, as a feed is quiet while the store drops its history; decoding the rows, as one bad value would hide the others and any value is a request; stopping starts at the first failed read, as the term ends them 1.0 to 2.8 s into an outage anyway.

--- a/comfreywind/platform/node_file.py
+++ b/comfreywind/platform/node_file.py
@@ -48,6 +48,7 @@
     lease_ms: float = 3000
     remote_factor: float = 2
     quota_overrun: float = 0.1
+    evacuate_ms: float = 5000
 
 
 class _Store(_Section):
@@ -133,4 +134,5 @@
         order_reservation_s=bounds.lease_ms / MS_PER_S,
         remote_factor=bounds.remote_factor,
         ceiling_overrun=bounds.quota_overrun,
+        evacuate_s=bounds.evacuate_ms / MS_PER_S,
     )
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -123,6 +123,24 @@
             version = page.version if version is None else version
         return RowPage(tuple(rows), version or 0)
 
+    async def read_versions(self, table: str, partition: str, prefix: str) -> dict[str, int]:
+        """Return the versions of all rows whose key begins with the prefix, by key.
+
+        The rows' values are not decoded, so that an unreadable one hides no other.
+        """
+        end = quote(f'{prefix[:-1]}{chr(ord(prefix[-1]) + 1)}', safe='')
+        versions: dict[str, int] = {}
+        start, has_more = quote(prefix, safe=''), True
+        while has_more:
+            bounds = f'&from={start}&to={end}&limit={PAGE_ROWS}'
+            document = await self._read_document(table, partition, bounds)
+            with _wrap_decoding_errors():
+                page = {str(row['key']): int(row.get('schema_ver', 0)) for row in document['rows']}
+            versions.update(page)
+            start = f'{quote(max(page, default=prefix), safe="")}%00'
+            has_more = bool(page) and bool(document.get('has_more'))
+        return versions
+
     async def read_partitions(self, table: str, partitions: Iterable[str]) -> list[RowPage]:
         """Return all rows of each partition in the given order, read concurrently."""
         pages: dict[str, RowPage] = {}
@@ -152,9 +170,12 @@
         return _decode_changes(await self._exchange('GET', path, None, None))
 
     async def _read_page(self, table: str, partition: str, bounds: str) -> RowPage:
+        return _decode_page(await self._read_document(table, partition, bounds))
+
+    async def _read_document(self, table: str, partition: str, bounds: str) -> dict[str, Any]:
         query = f'table_name={quote(table, safe="")}&part={quote(partition, safe="")}{bounds}'
         _, document = await self._call('GET', f'/v1/rows-get?{query}')
-        return _decode_page(document)
+        return document
 
     async def _call(
         self, method: str, path: str, request: object | None = None, permit: Permit | None = None
--- a/comfreywind/platform/target_client.py
+++ b/comfreywind/platform/target_client.py
@@ -60,12 +60,15 @@
         address: Address,
         max_wait_s: float,
         permit: Callable[[int], bool],
+        start_permit: Callable[[int], bool] | None = None,
     ) -> None:
         """Prepare clients of the address; hold calls wait up to `max_wait_s` for an ended run.
 
-        Orders are sent only if `permit` returns True for their fence just before they are sent.
+        Orders are sent only if `permit` returns True for their fence just before they are sent, and
+        starts only if `start_permit` does, which is `permit` unless it is given.
         """
         self._permit = permit
+        self._start_permit = start_permit or permit
         self._client = HttpClient(address, ORDER_TIMEOUT_S, CONNECTION_LIMIT)
         self._hold_client = HttpClient(address, max_wait_s + HOLD_MARGIN_S, 1)
         self._headers = [(HEADER_INSTANCE, target_id.encode())]
@@ -95,7 +98,7 @@
         order.update(
             {name: text for name, text in (('checkpoint', checkpoint), ('ticket', ticket)) if text}
         )
-        permit = _RecordingPermit(partial(self._permit, fence))
+        permit = _RecordingPermit(partial(self._start_permit, fence))
         try:
             reply = await self._client.call(
                 'POST', '/v1/run-start', order, self._headers, permit.ask
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -31,6 +31,7 @@
 from comfreywind.platform.vm_client import VmClient
 from comfreywind.platform.wire import TABLE_SERVERS
 from comfreywind.scheduling.advice_keeper import AdviceKeeper
+from comfreywind.scheduling.evacuation_watch import EvacuationWatch
 from comfreywind.scheduling.job_retention import RETENTION_MARGIN_S, JobRetention
 from comfreywind.scheduling.maintenance_keeper import MaintenanceKeeper
 from comfreywind.scheduling.open_start_keeper import OpenStartKeeper
@@ -44,6 +45,7 @@
 from comfreywind.scheduling.rules_follower import RulesFollower
 from comfreywind.scheduling.scheduler_state import SchedulerState
 from comfreywind.scheduling.settlement import Reconciliation
+from comfreywind.scheduling.start_revocation import revoke_unanswered_starts
 from comfreywind.scheduling.target_link import MAX_HOLD_WAIT_S, TargetLink
 from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.target_registry import TargetRegistry
@@ -91,7 +93,14 @@
         self._keeper = keeper
         self._clock = clock
         self.scheduler_state = SchedulerState(term.first_fence, settings.timings.lease_limit_s)
-        self._planner = Planner(self.scheduler_state, metrics=metrics)
+        self._evacuations = EvacuationWatch(
+            rows,
+            rules.wait_for_evacuation_change,
+            clock,
+            settings.timings.evacuate_s,
+            self._apply_evacuations,
+        )
+        self._planner = Planner(self.scheduler_state, metrics=metrics, may_start=self._may_start_on)
         self.journal = ProgressJournal(rows, self.scheduler_state)
         self._reservations = OrderReservations(
             rows, term, settings.timings.order_reservation_s, clock
@@ -153,6 +162,7 @@
             # All tables are read at the same time, because a slow store takes up to a second for
             # each answer.
             nursery.start_soon(self._load)
+            self._start('evacuation requests', self._evacuations.run)
             self._start('journal', self.journal.run)
             self._start('intake feed', intake.run)
             self._start('targets feed', targets.run)
@@ -202,6 +212,24 @@
         """
         return self._may_order() and fence == record.fence
 
+    def _may_send_start(self, record: TargetRecord, fence: int) -> bool:
+        """Return whether a start with that fence may be sent to a target at this moment."""
+        may_start = self._evacuations.may_start(record.entry.data_centre)
+        return may_start and self._may_send(record, fence)
+
+    def _may_start_on(self, record: TargetRecord, now_s: float) -> bool:
+        """Return whether a plan may start runs on a target."""
+        may_start = self._evacuations.may_start(record.entry.data_centre)
+        return may_start and record.may_start(now_s)
+
+    def _apply_evacuations(self, added: frozenset[str]) -> None:
+        """Revoke the starts under way in data centres of new requests, and plan anew."""
+        for record in revoke_unanswered_starts(self.scheduler_state, added):
+            link = self._links.get(record.entry.target_id)
+            if link is not None:
+                link.poll_anew()
+        self._wake.set()
+
     def _may_order_vm(self, vm: str) -> bool:
         """Return whether an order for the VM may be sent at this moment."""
         return self._may_order() and self._reservations.may_send(vm)
@@ -387,6 +415,7 @@
                 record.entry.address,
                 MAX_HOLD_WAIT_S,
                 partial(self._may_send, record),
+                partial(self._may_send_start, record),
             ),
             self.scheduler_state,
             self.journal,
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -46,8 +46,13 @@
         scheduler_state: SchedulerState,
         sort_key: SortKeyFunction = compute_sort_key,
         metrics: Metrics | None = None,
+        may_start: Callable[[TargetRecord, float], bool] = TargetRecord.may_start,
     ) -> None:
-        """Plan for `scheduler_state`, with the jobs of a pool in the order of `sort_key`."""
+        """Plan for `scheduler_state`, with the jobs of a pool in the order of `sort_key`.
+
+        `may_start` returns whether a target may get runs at a time.
+        """
+        self._may_start = may_start
         self._metrics = metrics or NoMetrics()
         self._sort_key = sort_key
         self._state = scheduler_state
@@ -77,7 +82,7 @@
         """Return the targets by pool that may get work now, in one pass over all targets."""
         ready: dict[str, list[TargetRecord]] = {pool: [] for pool in pools}
         for target in self._state.targets.values() if ready else ():
-            if target.entry.pool in ready and target.may_start(now_s):
+            if target.entry.pool in ready and self._may_start(target, now_s):
                 ready[target.entry.pool].append(target)
         return ready
 
@@ -268,7 +273,7 @@
     def _update_capacity(self, target_id: str) -> None:
         """Update the index after the free capacity of a target has changed."""
         target = self._state.targets[target_id]
-        if target.may_start(self._now_s):
+        if self._may_start(target, self._now_s):
             self._capacity_index.replace(_describe_capacity(target))
         else:
             self._capacity_index.remove(target_id)
--- a/comfreywind/scheduling/rules_follower.py
+++ b/comfreywind/scheduling/rules_follower.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import trio
+
 from comfreywind.clock import Clock
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.maintenance_wave import MaintenanceWave
@@ -9,7 +11,12 @@
 from comfreywind.platform.rules_codec import decode_rules
 from comfreywind.platform.stored_row import StoredRow
 from comfreywind.platform.wave_codec import decode_wave
-from comfreywind.platform.wire import KEY_CONFIG, PREFIX_WAVE, TABLE_OPERATOR
+from comfreywind.platform.wire import (
+    KEY_CONFIG,
+    PREFIX_EVACUATION,
+    PREFIX_WAVE,
+    TABLE_OPERATOR,
+)
 from comfreywind.scheduling.row_feed import RowFeed
 
 # A feed request waits up to 0.7 s, so a change is known well within the 2 s that the users allow.
@@ -29,6 +36,7 @@
         self.rules: JobRules | None = None
         self.waves: dict[int, MaintenanceWave] = {}
         self._wave_end_s: dict[int, float] = {}
+        self._evacuation_changed = trio.Event()
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -49,7 +57,15 @@
         """Return when the wave should be complete, counted from when this node first read it."""
         return self._wave_end_s[wave]
 
+    async def wait_for_evacuation_change(self) -> None:
+        """Return once the feed tells that a request to evacuate a data centre came or went."""
+        await self._evacuation_changed.wait()
+
     def _handle_row(self, row: StoredRow) -> None:
+        if row.key.startswith(PREFIX_EVACUATION):
+            self._evacuation_changed.set()
+            self._evacuation_changed = trio.Event()
+            return
         if row.payload is None:
             return
         if row.key == KEY_CONFIG:
--- a/comfreywind/settings/node.py
+++ b/comfreywind/settings/node.py
@@ -23,8 +23,9 @@
 
     `lease_limit_s` is the longest lease that a target grants, `stop_grace_s` how long a task may
     take to stop, `status_retention_s` how long the state of an ended job can be queried,
-    `grace_s` how long a node may take to stop after SIGTERM, and `order_reservation_s` the minimum time
-    between two holders' orders for the same VM.
+    `grace_s` how long a node may take to stop after SIGTERM, `order_reservation_s` the minimum time
+    between two holders' orders for the same VM, and `evacuate_s` the time after the request to
+    evacuate a data centre from which nothing may start there.
     """
 
     lease_limit_s: float = 6
@@ -41,6 +42,7 @@
     order_reservation_s: float = 3
     remote_factor: float = 2
     ceiling_overrun: float = 0.1
+    evacuate_s: float = 5
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/helpers/scheduler_harness.py
+++ b/tests/helpers/scheduler_harness.py
@@ -17,6 +17,7 @@
 from comfreywind.scheduling.orders import Order, StartOrder, StopOrder
 from comfreywind.scheduling.planner import Planner
 from comfreywind.scheduling.scheduler_state import SchedulerState
+from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.settings.address import Address
 
 POOL = 'north'
@@ -36,10 +37,14 @@
     """A scheduler state of one pool; reports advance `now_s` by 0.1 s, tests may change it."""
 
     def __init__(self, targets: int = 2, cpu: int = 4000, epoch: int = 1) -> None:
-        """Register the targets t0, t1, ..., which have reported that nothing runs on them."""
+        """Register the targets t0, t1, ..., which have reported that nothing runs on them.
+
+        Nothing starts in the data centres of `evacuated`.
+        """
+        self.evacuated: set[str] = set()
         self.scheduler_state = SchedulerState(epoch)
         self.scheduler_state.unknown_usage = NO_RESOURCES
-        self.planner = Planner(self.scheduler_state)
+        self.planner = Planner(self.scheduler_state, may_start=self.may_start)
         self.scheduler_state.rules = JobRules(
             1, queues={QUEUE.name: QUEUE}, teams={TEAM: Team(TEAM)}
         )
@@ -55,6 +60,15 @@
         self.scheduler_state.register_target(entry).in_registry = True
         self.report(name)
 
+    def may_start(self, target: TargetRecord, now_s: float) -> bool:
+        """Return whether runs may be started on a target."""
+        return target.entry.data_centre not in self.evacuated and target.may_start(now_s)
+
+    def place_target(self, target: str, data_centre: str) -> None:
+        """Let a target register in a data centre."""
+        entry = self.scheduler_state.targets[target].entry
+        self.scheduler_state.register_target(replace(entry, data_centre=data_centre))
+
     def add_job(self, job: Job | None = None, reconciled: bool = True) -> Job:
         """Add an accepted job without progress, and return it."""
         accepted = job or make_job()
