Publish the waits of teams beyond their share in the row of the term

Cause: nodes that don't hold the term know nothing of the backlog.

Ruled out: names of teams in the row (20 names of 13 characters take 280 bytes for one queue); a map with positions as keys, which msgpack refuses to read in earlier versions.

Measured: a row with the counts of 8 queues and waits of 8 queues and 20 teams stays under 400 bytes (test_queue_wait.py).

--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -49,6 +49,7 @@
 from comfreywind.scheduling.target_registry import TargetRegistry
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.vm_watch import VmWatch
+from comfreywind.scheduling.wait_publisher import WaitPublisher
 from comfreywind.settings.address import Address
 from comfreywind.settings.node import NodeSettings
 from comfreywind.supervision import supervise
@@ -117,6 +118,10 @@
             term, rows, self.scheduler_state, self.journal, self._registry, clock, self._is_gone
         )
         self._watch: VmWatch | None = None
+        self._pool_sizer: PoolSizer | None = None
+        self._waits = WaitPublisher(
+            term, self.scheduler_state, keeper, self._count_arriving, clock, metrics
+        )
         self._retention = JobRetention(
             rows,
             self.scheduler_state,
@@ -165,6 +170,7 @@
             )
             self._start('tick', partial(self._tick, intake))
             self._start('levels', self._report_levels)
+            self._start('waits', self._waits.run)
             self._start('roster', self._registry.run)
             self._start('open starts', self._open_starts.run)
             self._start('retention', self._retention.run)
@@ -280,7 +286,13 @@
             record.silent and record.runs for record in self.scheduler_state.targets.values()
         )
 
+    def _count_arriving(self) -> dict[str, int]:
+        return {} if self._pool_sizer is None else self._pool_sizer.count_arriving()
+
     def _make_pool_keeper(self, client: VmClient, watch: VmWatch) -> PoolKeeper:
+        self._pool_sizer = PoolSizer(
+            self.scheduler_state, DEFAULT_POLICY, self._reservations.may_reserve
+        )
         return PoolKeeper(
             self._term,
             self._settings.name,
@@ -289,7 +301,7 @@
             watch,
             self._rules,
             self._keeper,
-            PoolSizer(self.scheduler_state, DEFAULT_POLICY, self._reservations.may_reserve),
+            self._pool_sizer,
             self._clock,
         )
 
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -1,6 +1,7 @@
 """Decides which VMs move between pools, from the scheduler state and the list of VMs."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
@@ -72,6 +73,10 @@
         """Return whether a move is in progress."""
         return bool(self._orders)
 
+    def count_arriving(self) -> dict[str, int]:
+        """Return the number of VMs on their way to each pool."""
+        return dict(Counter(self._destinations.values()))
+
     def start_move(self, vm: Vm, pool: str, now_s: float) -> bool:
         """Record a move before its order and stop new work; return False if the VM has runs."""
         record = self._state.targets.get(vm.target_id)
--- a/comfreywind/scheduling/term_keeper.py
+++ b/comfreywind/scheduling/term_keeper.py
@@ -25,12 +25,19 @@
     is_term_valid,
 )
 from comfreywind.errors import RowsChangedError, StoreUnavailableError
+from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.row_format import RowFormatError
 from comfreywind.jobs.tables import TABLE_TERM, TERM_KEY, TERM_PARTITION
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.repeated_write import RepeatedWrite
 from comfreywind.scheduling.pending_count import PendingCount, unpack_pending_count
+from comfreywind.scheduling.queue_wait import (
+    PublishedWaits,
+    QueueWait,
+    pack_waits,
+    unpack_waits,
+)
 from comfreywind.scheduling.term_row import TermRow, decode_term, encode_term
 
 # Spreads the attempts of nodes that see a released term at the same moment.
@@ -68,8 +75,8 @@
 class TermKeeper:
     """Polls the lease row of the term, takes the term when it is free, and renews it.
 
-    `published_refused` and the last published count of pending jobs are written into the row whenever
-    this node renews the term. Until its holder has counted, the row keeps the earlier count.
+    The last published waits and count of pending jobs are written into the row whenever this node
+    renews the term. Until its holder has counted, the row keeps the earlier count.
     """
 
     def __init__(self, rows: RowsClient, node: str, clock: Clock, cores: float = 1) -> None:
@@ -91,7 +98,7 @@
         self._held: HeldTerm | None = None
         self._change = trio.Event()
         self._stopping = False
-        self.published_refused: dict[str, float] = {}
+        self._packed_waits: dict[str, list[int]] = {}
 
     @property
     def held(self) -> HeldTerm | None:
@@ -125,6 +132,23 @@
             return None
         return count.jobs_by_queue
 
+    def publish_waits(
+        self, term: HeldTerm, waits: Mapping[str, QueueWait], rules: JobRules, taken_s: float
+    ) -> None:
+        """Have the waits as of `taken_s` written with the next renewal, if `term` is still held."""
+        store_time = self._rows.store_time
+        if self._held is term and store_time is not None:
+            taken_ms = store_time.compute_earliest_ms(taken_s)
+            self._packed_waits = pack_waits(waits, rules.teams, rules.version, taken_ms)
+
+    def read_waits(self, rules: JobRules) -> PublishedWaits | None:
+        """Return the waits by queue, or None without any that are recent and of these rules."""
+        store_time = self._rows.store_time
+        if store_time is None:
+            return None
+        now_ms = store_time.compute_latest_ms(self._clock.read_monotonic_s())
+        return unpack_waits(self._lease_row.refused, rules.teams, rules.version, now_ms)
+
     def is_valid(self) -> bool:
         """Return whether this node holds the term at this moment and may send orders."""
         now_s = self._clock.read_monotonic_s()
@@ -262,7 +286,7 @@
             term_s=self._next_term_s,
             renewed_ms=0 if store_time is None else store_time.compute_latest_ms(sent_s),
             pending=self._pack_earlier_count() if count is None else count.pack(),
-            refused=self.published_refused,
+            refused=self._packed_waits,
             started_ms=self._compute_start_ms(),
         )
         if step is TermAction.RENEW:
@@ -359,6 +383,7 @@
         self._held = None
         self._renewal_sent_s = None
         self._pending_count = None
+        self._packed_waits = {}
         self._notify_change()
 
     def _notify_change(self) -> None:
--- a/comfreywind/scheduling/term_row.py
+++ b/comfreywind/scheduling/term_row.py
@@ -21,7 +21,8 @@
     The term lasts `term_s` from the last renewal, which was not later than `renewed_ms` on the
     store's clock (0 when the holder did not know that clock). The holder's process started at
     `started_ms` on the store's clock. `pending` is a packed `PendingCount`, which a holder that has
-    not counted yet takes over from the one before. `refused` maps queues that accept no jobs now to the seconds until a retry can help.
+    not counted yet takes over from the one before. `refused` are packed waits of the queues in which
+    teams may be refused, see `queue_wait.py`.
     """
 
     holder: str
@@ -31,7 +32,7 @@
     term_s: float = 0
     renewed_ms: float = 0
     pending: dict[str, int] = field(default_factory=dict)
-    refused: dict[str, float] = field(default_factory=dict)
+    refused: dict[str, list[int]] = field(default_factory=dict)
     started_ms: float = 0
 
 
--- a/tests/scheduling/test_queue_wait.py
+++ b/tests/scheduling/test_queue_wait.py
@@ -1,6 +1,7 @@
 """The waits in the row of the term, by which nodes refuse jobs."""
 
 import pytest
+import trio
 
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.resources import Resources
@@ -8,6 +9,7 @@
 from comfreywind.scheduling.pending_count import PendingCount
 from comfreywind.scheduling.queue_wait import AGE_LIMIT_S, QueueWait, pack_waits, unpack_waits
 from comfreywind.scheduling.term_row import FIELD_TYPES, TermRow, decode_term, encode_term
+from tests.scheduling.test_pending_count import run_nodes, step_down
 
 TEAMS = [f'department-{number:02}' for number in range(20)]
 QUEUES = [f'rebuild-{number}' for number in range(8)]
@@ -70,3 +72,26 @@
     """Without figures of the last 2 s that fit to the rules, nothing may be refused."""
     rules = JobRules(4100, teams={team: Team(team) for team in TEAMS})
     assert unpack_waits(packed, rules.teams, rules.version, NOW_MS + later_ms) is None
+
+
+async def test_holder_dies(autojump_clock: trio.testing.MockClock) -> None:
+    """Figures of a holder that is gone expire, and it can't publish any in the term of the next."""
+    rules = JobRules(4100, teams={team: Team(team) for team in TEAMS})
+    async with trio.open_nursery() as nursery:
+        nodes = await run_nodes(nursery)
+        term = nodes.holder.held
+        assert term is not None
+        nodes.holder.publish_waits(term, WAITS, rules, trio.current_time())
+        await trio.sleep(1)
+        published = nodes.other.read_waits(rules)
+        assert published is not None
+        assert published.age_s == pytest.approx(1)
+        await step_down(nodes)
+        await trio.sleep(AGE_LIMIT_S - 0.9)
+        assert nodes.other.read_waits(rules) is None
+        await nodes.wait_for_other()
+        nodes.other.publish_waits(term, WAITS, rules, trio.current_time())
+        nodes.holder.publish_waits(term, WAITS, rules, trio.current_time())
+        await trio.sleep(1)
+        assert nodes.other.read_waits(rules) is None
+        nursery.cancel_scope.cancel()
