--- a/tests/helpers/soak_fleet.py
+++ b/tests/helpers/soak_fleet.py
@@ -42,12 +42,13 @@
 class SoakNode:
     """A node process, and the client whose connections stay open until it is gone."""
 
-    def __init__(self, name: str, folder: Path, store: Address) -> None:
-        """Write the settings; nothing runs yet."""
-        ports = {kind: PORTS.find_free() for kind in ('peer', 'frontend', 'ready')}
+    def __init__(self, name: str, folder: Path, store: Address, more_settings: str = '') -> None:
+        """Write the settings, with further tables at their end, and start the process."""
+        self.ports = {kind: PORTS.find_free() for kind in ('peer', 'frontend', 'ready')}
         self.path = folder / f'{name}.toml'
-        self.path.write_text(SETTINGS.format(name=name, store=store, **ports))
-        self.client = HttpClient(Address(HOST, ports['frontend']), 4)
+        settings = SETTINGS.format(name=name, store=store, **self.ports)
+        self.path.write_text(settings + more_settings)
+        self.client = HttpClient(Address(HOST, self.ports['frontend']), 4)
         self.log_path = folder / f'{name}.log'
         self.start()
 
@@ -176,8 +177,10 @@
 
 
 @asynccontextmanager
-async def run_soak_fleet(nodes_count: int, targets_count: int) -> AsyncIterator[SoakFleet]:
-    """Run a fleet until the block is left."""
+async def run_soak_fleet(
+    nodes_count: int, targets_count: int, more_settings: str = ''
+) -> AsyncIterator[SoakFleet]:
+    """Run a fleet until the block is left; `more_settings` end the settings file of each node."""
     store, address = StoreApp(), Address(HOST, PORTS.find_free())
     store.write_document('op', 'config', make_config())
     log = StartLog()
@@ -188,7 +191,8 @@
             for target in targets:
                 nursery.start_soon(target.serve)
             nodes = [
-                SoakNode(f'node-{number}', Path(folder), address) for number in range(nodes_count)
+                SoakNode(f'node-{number}', Path(folder), address, more_settings)
+                for number in range(nodes_count)
             ]
             try:
                 yield SoakFleet(nodes, targets, store, log)
