Keep the progress of a large job within one row, and a bad row to its job

Cause: only done tasks were counted when the size of a job was limited; failed runs, checkpoints and counts of crashes made the row of a job of 4,950 tasks larger than row_bytes.

Ruled out: an outage of the store; it answers all calls. Several rows for one job were weighed and not taken: readers, cancelling and removal rely on one row with one version.

Change: make_progress_row keeps the plain format if it fits, else writes a compressed one with bitmaps of done tasks (version 2), else leaves out checkpoints, counts of crashes and failed runs, in this order. An earlier version can't read version 2 and starts no tasks of such a job; it could not have stored that progress. Ends are acknowledged up to the first end of a job that is not stored.

--- a/comfreywind/errors.py
+++ b/comfreywind/errors.py
@@ -57,6 +57,10 @@
     """The store refused the call; nothing was done."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store rejected the content of a call, and would reject it again; nothing was done."""
+
+
 class HistoryLostError(PlatformError):
     """The store no longer has the changes after the asked version; read the table anew."""
 
--- a/comfreywind/intake/job_store.py
+++ b/comfreywind/intake/job_store.py
@@ -22,11 +22,11 @@
     decode_intake_row,
     decode_stored_progress,
     encode_job,
-    encode_progress,
 )
 from comfreywind.jobs.job_owner import JobOwner, get_owner
 from comfreywind.jobs.job_state import JobState
 from comfreywind.jobs.progress import Progress
+from comfreywind.jobs.progress_row import make_progress_row
 from comfreywind.jobs.queue import Queue
 from comfreywind.jobs.tables import (
     CANCEL_SUFFIX,
@@ -137,8 +137,9 @@
             if progress.state.final:
                 return progress.state
             progress.state = JobState.CANCELLED
+            row = make_progress_row(progress, self.row_limit_bytes)
             changes = [
-                RowChange(TABLE_PROGRESS, job_id, encode_progress(progress), version),
+                RowChange(TABLE_PROGRESS, job_id, row.payload, version),
                 RowChange(TABLE_INTAKE, f'{job_id}{CANCEL_SUFFIX}', b'cancelled'),
             ]
             try:
--- a/comfreywind/jobs/job_codec.py
+++ b/comfreywind/jobs/job_codec.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from comfreywind.jobs.compact_progress import COMPACT_FORMAT_VERSION, decode_compact
 from comfreywind.jobs.ended_job import EndedJob
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_limits import describe_exceeded_limit
@@ -66,7 +67,7 @@
 
 
 def encode_progress(progress: Progress) -> bytes:
-    """Return the value of the job's row in the progress table."""
+    """Return the value of the job's row in the progress table, in the plain format."""
     done = [list(task) for task in sorted(progress.done)]
     failures = [[*task, *sorted(runs)] for task, runs in progress.failures.items()]
     checkpoints = [[*task, text] for task, text in progress.checkpoints.items()]
@@ -78,9 +79,10 @@
 
 def decode_progress(value: bytes) -> Progress:
     """Return the progress in a row; raise RowFormatError when the row can't be decoded."""
-    row = _unpack(value)
+    row = _unpack(value, (FORMAT_VERSION, COMPACT_FORMAT_VERSION))
+    make = decode_compact if row[0] == COMPACT_FORMAT_VERSION else _make_progress
     try:
-        return _make_progress(*row[1:])
+        return make(*row[1:])
     except (TypeError, ValueError, IndexError) as error:
         raise RowFormatError(f"row of a job's progress: {error}") from error
 
@@ -132,11 +134,11 @@
     return packed
 
 
-def _unpack(value: bytes) -> Any:
+def _unpack(value: bytes, versions: Sequence[int] = (FORMAT_VERSION,)) -> Any:
     try:
         row = msgpack.unpackb(value)
     except (ValueError, msgpack.UnpackException) as error:
         raise RowFormatError(f'row is not valid msgpack: {error}') from error
-    if not isinstance(row, list) or not row or row[0] != FORMAT_VERSION:
-        raise RowFormatError(f'row is not a list that begins with format version {FORMAT_VERSION}')
+    if not isinstance(row, list) or not row or row[0] not in versions:
+        raise RowFormatError(f'row is not a list that begins with a format version of {versions}')
     return row
--- a/comfreywind/jobs/job_limits.py
+++ b/comfreywind/jobs/job_limits.py
@@ -2,8 +2,8 @@
 
 from comfreywind.jobs.job import Job
 
-# Tasks of one job over all occurrences. The records of this many ended tasks fit into the one row
-# that stores a job's progress.
+# Tasks of one job over all occurrences. That this many have ended fits into the one row that stores a
+# job's progress, whatever their steps and occurrences are (`progress_row.py`).
 TASK_LIMIT = 5_000
 STEP_LIMIT = 256
 TEXT_LIMIT_CHARACTERS = 200
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -17,6 +17,7 @@
     RowsChangedError,
     StoreCallLostError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 from comfreywind.http.client import HttpClient, HttpReply, Permit
@@ -41,6 +42,8 @@
 STATUS_CONFLICT = 412
 # Statuses with which the store guarantees that the call had no effect.
 STATUSES_REFUSED = frozenset((403, 429, 503, 507))
+# Statuses with which the store rejects a transaction or a row that is beyond its limits.
+STATUSES_REJECTED = frozenset((400, 413))
 
 
 class RowsClient:
@@ -87,8 +90,9 @@
         """Commit all changes to rows of one partition or none; return the version of the new rows.
 
         Raises RowsChangedError when a row did not have its expected version, and StoreRefusedError
-        when the store refused the call or `permit` returned False just before it was sent; in both
-        cases nothing was written. Raises StoreUnavailableError when the outcome is unknown.
+        when the store refused the call or `permit` returned False just before it was sent, and
+        StoreRejectedError when the transaction is beyond a limit; in all three cases nothing was
+        written. Raises StoreUnavailableError when the outcome is unknown.
         """
         transaction = _encode_changes(partition, changes)
         sent_s = self._clock.read_monotonic_s()
@@ -241,6 +245,10 @@
 def _read_document(reply: HttpReply) -> dict[str, Any]:
     if reply.status in STATUSES_REFUSED:
         raise StoreRefusedError(f'the store refused the call: status {reply.status}')
+    if reply.status in STATUSES_REJECTED:
+        raise StoreRejectedError(
+            f'the store rejected the call: status {reply.status}, body {reply.body[:200]!r}'
+        )
     if reply.status not in (STATUS_OK, STATUS_CONFLICT):
         raise StoreUnavailableError(
             f'unexpected reply of the store: status {reply.status}, body {reply.body[:200]!r}'
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -92,7 +92,7 @@
         self._clock = clock
         self.scheduler_state = SchedulerState(term.first_fence, settings.timings.lease_limit_s)
         self._planner = Planner(self.scheduler_state, metrics=metrics)
-        self.journal = ProgressJournal(rows, self.scheduler_state)
+        self.journal = ProgressJournal(rows, self.scheduler_state, settings.store_limits.row_bytes)
         self._reservations = OrderReservations(
             rows, term, settings.timings.order_reservation_s, clock
         )
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -234,6 +234,7 @@
             if ended.number > record.applied_number:
                 self._apply_end(record, ended, now_s)
                 record.applied_number = ended.number
+                record.unstored_ends.add(ended.number, ended.key.job_id)
         orders: list[Order] = []
         listed_keys: set[TaskKey] = set()
         for active in report.active:
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -8,6 +8,7 @@
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.known_runs import KnownRuns
 from comfreywind.scheduling.run_record import RunRecord, RunState
+from comfreywind.scheduling.unstored_ends import UnstoredEnds
 
 # How far the clock in a reply may be from the one that the last report leads to expect. The reply
 # may be delayed, and the clocks drift.
@@ -23,7 +24,8 @@
 
     The target numbers the ends of its runs. `applied_number` is the highest end applied to the
     scheduler state, `stored_number` the highest whose effects are stored, and `acknowledged_number`
-    the highest that was acknowledged to the target. `lease_end_s` is when all runs on the target
+    the highest that was acknowledged to the target; `unstored_ends` tells the jobs of
+    those between the first two. `lease_end_s` is when all runs on the target
     have certainly lapsed. `in_registry` is set while the stored target registry names the target,
     without which nothing may be started on it. `due` marks a VM of an open maintenance wave.
     `known_runs` tells what its reports have shown since the takeover.
@@ -47,6 +49,7 @@
     applied_number: int = 0
     stored_number: int = 0
     acknowledged_number: int = 0
+    unstored_ends: UnstoredEnds = field(default_factory=UnstoredEnds)
     known_runs: KnownRuns = KnownRuns.NONE
     in_registry: bool = False
     maintenance_due: bool = False
@@ -110,6 +113,7 @@
         self.applied_number = 0
         self.stored_number = 0
         self.acknowledged_number = 0
+        self.unstored_ends = UnstoredEnds()
         self.consecutive_failures = 0
         self.restarted = True
         self.raise_fence()
