--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -102,7 +102,7 @@
             self._apply_evacuations,
         )
         self._planner = Planner(self.scheduler_state, metrics=metrics, may_start=self._may_start_on)
-        self.journal = ProgressJournal(rows, self.scheduler_state)
+        self.journal = ProgressJournal(rows, self.scheduler_state, settings.store_limits.row_bytes)
         self._reservations = OrderReservations(
             rows, term, settings.timings.order_reservation_s, clock
         )
