Move long-running and checkpointed work out of evacuated data centres

Cause: with starts barred, long-running tasks and tasks with 5 s and more left stayed there, pools counted the VMs there as usable, and the operator was shown nothing.

EvacuationMover stops a run once a place elsewhere is kept for it, within unavailable_limit, gangs as a whole; pools leave the VMs out of their size and of all moves, and give a surplus up one VM a second after the end. The rows status/evacuate/ZONE are written under their version. Places are kept (TargetRecord.held), because on a full pool short tasks would take each piece of free capacity before a long-running task could.

--- a/comfreywind/decisions/scheduling/capacity_index.py
+++ b/comfreywind/decisions/scheduling/capacity_index.py
@@ -10,14 +10,14 @@
 
 # What counts against a target, the most important first: the task has failed there, its VM is due
 # for maintenance, the number of tasks of the same step there, it serves users, it is in another
-# rack than the data.
-Rank = tuple[bool, bool, float, bool, bool]
+# rack than the data, it is still slow after its start.
+Rank = tuple[bool, bool, float, bool, tuple[bool, bool]]
 NO_TARGETS: frozenset[str] = frozenset()
 NO_COUNTS: Mapping[str, int] = {}
 # Nothing counts against the target, so that the search can end.
-BEST_RANK: Rank = (False, False, 0, False, False)
+BEST_RANK: Rank = (False, False, 0, False, (False, False))
 # After the rank of any target.
-WORST_RANK: Rank = (True, True, math.inf, True, True)
+WORST_RANK: Rank = (True, True, math.inf, True, (True, True))
 
 
 class CapacityIndex:
@@ -110,5 +110,5 @@
         step.long_running and target.maintenance_due,
         spread_count,
         step.best_effort and target.serving,
-        remote,
+        (remote, target.cold),
     )
--- a/comfreywind/decisions/scheduling/placement.py
+++ b/comfreywind/decisions/scheduling/placement.py
@@ -12,7 +12,7 @@
     """The free capacity of a target that may take a task, and what else decides about it.
 
     `serving` tells that tasks there serve users, `maintenance_due` that its VM goes down for
-    maintenance soon.
+    maintenance soon, `cold` that it is still slow after its start.
     """
 
     target_id: str
@@ -20,6 +20,7 @@
     labels: frozenset[str]
     serving: bool = False
     maintenance_due: bool = False
+    cold: bool = False
 
 
 def compute_effective_request(step: Step) -> Resources:
--- a/comfreywind/scheduling/evacuation_watch.py
+++ b/comfreywind/scheduling/evacuation_watch.py
@@ -35,11 +35,11 @@
         wait_for_change: Callable[[], Awaitable[None]],
         clock: Clock,
         evacuate_s: float,
-        on_change: Callable[[frozenset[str]], None],
+        on_change: Callable[[frozenset[str], frozenset[str]], None],
     ) -> None:
         """Read when `wait_for_change` returns, and at an interval.
 
-        `on_change` is called with the data centres that were added by a read.
+        `on_change` is called with the data centres that a read has added and removed.
         """
         self._rows = rows
         self._wait_for_change = wait_for_change
@@ -50,9 +50,9 @@
         self._is_old = False
 
     @property
-    def data_centres(self) -> frozenset[str]:
-        """Return the data centres that were to be evacuated at the last read."""
-        return self._copy.data_centres
+    def data_centres(self) -> frozenset[str] | None:
+        """Return the data centres that were to be evacuated at the last read, None before it."""
+        return None if self._copy.confirmed_s is None else self._copy.data_centres
 
     def is_recent(self) -> bool:
         """Return whether the copy is recent enough for a start."""
@@ -90,7 +90,7 @@
         for removed in sorted(before - data_centres):
             log.info('data centre %s: evacuation taken back, tasks may start there', removed)
         if data_centres != before:
-            self._on_change(data_centres - before)
+            self._on_change(data_centres - before, before - data_centres)
 
     def _note_failure(self, error: StoreUnavailableError) -> None:
         if self._is_old or self.is_recent():
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -31,7 +31,7 @@
 from comfreywind.platform.vm_client import VmClient
 from comfreywind.platform.wire import TABLE_SERVERS
 from comfreywind.scheduling.advice_keeper import AdviceKeeper
-from comfreywind.scheduling.evacuation_watch import EvacuationWatch
+from comfreywind.scheduling.evacuation import Evacuation
 from comfreywind.scheduling.job_retention import RETENTION_MARGIN_S, JobRetention
 from comfreywind.scheduling.maintenance_keeper import MaintenanceKeeper
 from comfreywind.scheduling.open_start_keeper import OpenStartKeeper
@@ -45,7 +45,6 @@
 from comfreywind.scheduling.rules_follower import RulesFollower
 from comfreywind.scheduling.scheduler_state import SchedulerState
 from comfreywind.scheduling.settlement import Reconciliation
-from comfreywind.scheduling.start_revocation import revoke_unanswered_starts
 from comfreywind.scheduling.target_link import MAX_HOLD_WAIT_S, TargetLink
 from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.target_registry import TargetRegistry
@@ -93,14 +92,20 @@
         self._keeper = keeper
         self._clock = clock
         self.scheduler_state = SchedulerState(term.first_fence, settings.timings.lease_limit_s)
-        self._evacuations = EvacuationWatch(
+        self._evacuation = Evacuation(
             rows,
-            rules.wait_for_evacuation_change,
+            rules,
+            self.scheduler_state,
             clock,
             settings.timings.evacuate_s,
-            self._apply_evacuations,
+            settings.data_centre,
+            self._may_order,
+            self.submit_orders,
+            self._poll_anew,
+        )
+        self._planner = Planner(
+            self.scheduler_state, metrics=metrics, may_start=self._evacuation.may_start_on
         )
-        self._planner = Planner(self.scheduler_state, metrics=metrics, may_start=self._may_start_on)
         self.journal = ProgressJournal(rows, self.scheduler_state)
         self._reservations = OrderReservations(
             rows, term, settings.timings.order_reservation_s, clock
@@ -162,7 +167,7 @@
             # All tables are read at the same time, because a slow store takes up to a second for
             # each answer.
             nursery.start_soon(self._load)
-            self._start('evacuation requests', self._evacuations.run)
+            self._start('evacuation requests', self._evacuation.watch.run)
             self._start('journal', self.journal.run)
             self._start('intake feed', intake.run)
             self._start('targets feed', targets.run)
@@ -185,6 +190,7 @@
                 self._start('advice', advice.run)
             if self._settings.vm_service_address is not None:
                 self._start_vm_tasks(self._settings.vm_service_address)
+            self._start('evacuation', partial(self._evacuation.run, self._has_reconciled))
             await supervise('planner', self._plan_forever, self._metrics)
 
     def submit_orders(self, orders: list[Order]) -> None:
@@ -214,21 +220,15 @@
 
     def _may_send_start(self, record: TargetRecord, fence: int) -> bool:
         """Return whether a start with that fence may be sent to a target at this moment."""
-        may_start = self._evacuations.may_start(record.entry.data_centre)
-        return may_start and self._may_send(record, fence)
-
-    def _may_start_on(self, record: TargetRecord, now_s: float) -> bool:
-        """Return whether a plan may start runs on a target."""
-        may_start = self._evacuations.may_start(record.entry.data_centre)
-        return may_start and record.may_start(now_s)
-
-    def _apply_evacuations(self, added: frozenset[str]) -> None:
-        """Revoke the starts under way in data centres of new requests, and plan anew."""
-        for record in revoke_unanswered_starts(self.scheduler_state, added):
-            link = self._links.get(record.entry.target_id)
-            if link is not None:
-                link.poll_anew()
-        self._wake.set()
+        return self._evacuation.may_send_start(record) and self._may_send(record, fence)
+
+    def _has_reconciled(self) -> bool:
+        return self._reconciliation.done
+
+    def _poll_anew(self, target_id: str) -> None:
+        link = self._links.get(target_id)
+        if link is not None:
+            link.poll_anew()
 
     def _may_order_vm(self, vm: str) -> bool:
         """Return whether an order for the VM may be sent at this moment."""
@@ -286,6 +286,7 @@
     def _start_vm_tasks(self, address: Address) -> None:
         client = VmClient(address, self._may_order_vm)
         self._watch = VmWatch(client, self.scheduler_state, self._clock)
+        self._evacuation.use_vm_list(self._watch)
         upkeep = self._make_maintenance_keeper(client, self._watch)
         pools = self._make_pool_keeper(client, self._watch)
         self._start('upkeep', upkeep.run)
@@ -298,7 +299,8 @@
         return self._watch is not None and self._watch.is_dead(target_id, self._term.taken_s)
 
     def _needs_vm_list(self, upkeep: MaintenanceKeeper, pools: PoolKeeper) -> bool:
-        return upkeep.is_busy() or pools.is_busy() or self._has_unconfirmed_runs()
+        busy = upkeep.is_busy() or pools.is_busy() or self._evacuation.needs_vm_list()
+        return busy or self._has_unconfirmed_runs()
 
     def _has_unconfirmed_runs(self) -> bool:
         """Return whether the VM list could show that runs have ended with their VM."""
@@ -317,7 +319,13 @@
             watch,
             self._rules,
             self._keeper,
-            PoolSizer(self.scheduler_state, DEFAULT_POLICY, self._reservations.may_reserve),
+            PoolSizer(
+                self.scheduler_state,
+                DEFAULT_POLICY,
+                self._reservations.may_reserve,
+                self._evacuation.list_data_centres,
+                self._evacuation.count_vms_for_moves,
+            ),
             self._clock,
         )
 
@@ -399,6 +407,7 @@
         fence = None if known is None else known.fence
         record = self.scheduler_state.register_target(entry)
         record.leaving = False
+        record.registered_s = self._clock.read_monotonic_s()
         self._wake.set()
         link = self._links.get(entry.target_id)
         if link is not None and record.fence != fence:
@@ -486,6 +495,7 @@
         self._send(self.scheduler_state.stop_closed_jobs(now_s))
         self._send(self.scheduler_state.stop_broken_gangs(now_s))
         self.scheduler_state.unknown_usage = self._reconciliation.compute_unknown_usage()
+        self._evacuation.prepare_plan()
         self._send(self._planner.plan(now_s, now_ms))
         if self.scheduler_state.changed_jobs:
             self.journal.wake()
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -6,7 +6,6 @@
 
 from comfreywind.decisions.scheduling.capacity_index import NO_COUNTS, CapacityIndex
 from comfreywind.decisions.scheduling.placement import (
-    TargetCapacity,
     choose_rack,
     compute_effective_request,
 )
@@ -24,6 +23,7 @@
 from comfreywind.scheduling.orders import Order, StartOrder
 from comfreywind.scheduling.run_record import RunRecord, RunState
 from comfreywind.scheduling.scheduler_state import SchedulerState
+from comfreywind.scheduling.target_capacity import describe_capacity
 from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.supervision import note_unexpected
 
@@ -89,7 +89,9 @@
     def _plan_pool(
         self, targets: list[TargetRecord], records: list[JobRecord], now_ms: float
     ) -> list[Order]:
-        self._capacity_index = CapacityIndex(map(_describe_capacity, targets))
+        self._capacity_index = CapacityIndex(
+            describe_capacity(target, self._now_s) for target in targets
+        )
         orders: list[Order] = []
         records.sort(key=lambda record: self._sort_key(self._get_urgency(record), now_ms))
         self._unplaced_requests.clear()
@@ -274,7 +276,7 @@
         """Update the index after the free capacity of a target has changed."""
         target = self._state.targets[target_id]
         if self._may_start(target, self._now_s):
-            self._capacity_index.replace(_describe_capacity(target))
+            self._capacity_index.replace(describe_capacity(target, self._now_s))
         else:
             self._capacity_index.remove(target_id)
 
@@ -337,13 +339,3 @@
     """Return the sort key of a target by what a crash of it would end."""
     long_running_count = sum(run.long_running for run in target.runs.values())
     return (long_running_count, len(target.runs))
-
-
-def _describe_capacity(target: TargetRecord) -> TargetCapacity:
-    return TargetCapacity(
-        target.entry.target_id,
-        target.free,
-        target.entry.labels,
-        serving=any(run.tail_latency_limit_ms for run in target.runs.values()),
-        maintenance_due=target.maintenance_due,
-    )
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -11,11 +11,13 @@
     choose_moves,
     compute_surplus_vms,
 )
+from comfreywind.decisions.scheduling.shrink_pace import ShrinkPace
 from comfreywind.jobs.pool import Pool
 from comfreywind.jobs.vm import Vm
 from comfreywind.scheduling.demand_watch import DemandWatch
 from comfreywind.scheduling.pool_work import PoolWork, group_by_pool
 from comfreywind.scheduling.scheduler_state import SchedulerState
+from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.vm_order import VmOrder
 
 # An ordered move may still be carried out within this time. After it the VM takes work again.
@@ -24,6 +26,7 @@
 INITIAL_MOVE_S = 1.7
 # Weight of the latest move in the moving average of that time.
 MOVE_WEIGHT = 0.2
+NO_DATA_CENTRES: frozenset[str] = frozenset()
 
 log = logging.getLogger('comfreywind.pools')
 
@@ -32,6 +35,14 @@
     return True
 
 
+def _list_none() -> frozenset[str]:
+    return NO_DATA_CENTRES
+
+
+def _count_none(pool: str) -> int:
+    return 0
+
+
 class PoolSizer:
     """Owns the moves in progress; it has no sockets and no clock of its own."""
 
@@ -40,9 +51,20 @@
         scheduler_state: SchedulerState,
         policy: PoolPolicy,
         may_reserve: Callable[[str], bool] = _always_reservable,
+        list_evacuated: Callable[[], frozenset[str] | None] = _list_none,
+        count_vms_for_moves: Callable[[str], int] = _count_none,
     ) -> None:
-        """Size the pools of the scheduler state; `may_reserve` tells which VMs may be ordered."""
+        """Size the pools of the scheduler state; `may_reserve` tells which VMs may be ordered.
+
+        VMs in the data centres of `list_evacuated` are neither used nor moved; nothing moves while
+        it returns None, as they are not known. Pools get as many VMs more as `count_vms_for_moves`
+        tells, for runs that are to leave these data centres.
+        """
         self._may_reserve = may_reserve
+        self._list_evacuated = list_evacuated
+        self._count_vms_for_moves = count_vms_for_moves
+        self._evacuated = NO_DATA_CENTRES
+        self._pace = ShrinkPace()
         self._state = scheduler_state
         self._policy = policy
         self._orders: dict[str, VmOrder] = {}
@@ -56,26 +78,34 @@
 
     def choose(self, pools: Iterable[Pool], vms: Mapping[str, Vm], now_s: float) -> list[VmMove]:
         """Update the moves in progress by the list of VMs, and return the moves to order now."""
+        evacuated = self._list_evacuated()
+        if evacuated is None:
+            return []
+        self._evacuated = evacuated
+        self._pace.update(self._evacuated, now_s)
         self._update_orders(vms, now_s)
         work_by_pool = self._group_by_pool(vms)
         self._demand.record_new_jobs(work_by_pool, now_s)
         known_pools = tuple(pools)
         self._may_shrink = self._may_shrink or self._knows_demand(now_s)
-        even_share_vms = len(vms) / len(known_pools) if known_pools else 0
+        usable_vms = sum(vm.data_centre not in self._evacuated for vm in vms.values())
+        even_share_vms = usable_vms / len(known_pools) if known_pools else 0
         loads = [
             self._measure_load(pool, work_by_pool.get(pool.name, PoolWork()), even_share_vms, now_s)
             for pool in known_pools
         ]
-        return choose_moves(loads, self._policy)
+        standby_pools = {pool.name for pool in known_pools if pool.standby}
+        return self._limit_shrinking(choose_moves(loads, self._policy), standby_pools, now_s)
 
     def has_moves(self) -> bool:
         """Return whether a move is in progress."""
         return bool(self._orders)
 
     def start_move(self, vm: Vm, pool: str, now_s: float) -> bool:
-        """Record a move before its order and stop new work; return False if the VM has runs."""
+        """Record a move before its order and stop new work; return False if the VM must stay."""
         record = self._state.targets.get(vm.target_id)
-        if record is not None and record.runs:
+        has_runs = record is not None and record.runs
+        if has_runs or vm.data_centre in (self._list_evacuated() or NO_DATA_CENTRES):
             return False
         if record is not None:
             record.emptying = True
@@ -88,6 +118,14 @@
         self._resume_work(vm.target_id)
         self._remove_order(vm.name)
 
+    def _limit_shrinking(
+        self, moves: list[VmMove], standby_pools: set[str], now_s: float
+    ) -> list[VmMove]:
+        """Return the moves without those to standby that come later."""
+        shrinking = [move for move in moves if move.pool in standby_pools]
+        admitted = self._pace.admit(len(shrinking), now_s)
+        return [move for move in moves if move not in shrinking[admitted:]]
+
     def _update_orders(self, vms: Mapping[str, Vm], now_s: float) -> None:
         for name, order in list(self._orders.items()):
             vm = vms.get(name)
@@ -123,8 +161,9 @@
         work_by_pool = group_by_pool(self._state)
         for vm in vms.values():
             work_by_pool.setdefault(vm.pool, PoolWork()).vms.append(vm)
-        for pool in self._destinations.values():
-            work_by_pool.setdefault(pool, PoolWork()).arriving += 1
+        for name, pool in self._destinations.items():
+            if vms[name].data_centre not in self._evacuated:
+                work_by_pool.setdefault(pool, PoolWork()).arriving += 1
         return work_by_pool
 
     def _knows_demand(self, now_s: float) -> bool:
@@ -150,11 +189,12 @@
             pool=pool.name,
             standby=pool.standby,
             load_vms=load_vms,
-            usable=sum(target.is_usable(now_s) for target in work.targets),
+            usable=sum(self._is_usable(target, now_s) for target in work.targets),
             arriving=work.arriving,
             idle_vms=tuple(vm.name for vm in work.vms if self._is_idle(vm, pool.standby)),
             even_share_vms=even_share_vms,
-            vms_for_long_running=work.count_vms_for_long_running(),
+            vms_for_long_running=work.count_vms_for_long_running()
+            + self._count_vms_for_moves(pool.name),
             expected_vms=self._demand.forecast_load_vms(pool.name, load_vms, self._move_s),
         )
         lacks_surplus = compute_surplus_vms(load, self._policy) <= 0
@@ -164,7 +204,12 @@
         since_s = self._surplus_since_s.setdefault(pool.name, now_s)
         return replace(load, surplus_for_s=now_s - since_s)
 
+    def _is_usable(self, target: TargetRecord, now_s: float) -> bool:
+        return target.entry.data_centre not in self._evacuated and target.is_usable(now_s)
+
     def _is_idle(self, vm: Vm, standby: bool) -> bool:
+        if vm.data_centre in self._evacuated:
+            return False
         if not vm.up or vm.name in self._orders or not self._may_reserve(vm.name):
             return False
         record = self._state.targets.get(vm.target_id)
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -37,6 +37,9 @@
     there, and its report has shown which of them did. Until then, `restarted` tells that the
     incarnation before has ended, with runs that may not be known to be lost. `clock_offset_ms` is
     the target's clock less the holder's, or None before the present incarnation has told its clock.
+
+    `held` is kept free for tasks that are about to be moved there. `registered_s` is when the present
+    registration was read, and `cold_until_s` until when the target counts as slow after its start.
     """
 
     entry: TargetEntry
@@ -62,6 +65,9 @@
     fenced: bool = False
     restarted: bool = False
     clock_offset_ms: float | None = None
+    held: Resources = NO_RESOURCES
+    registered_s: float = 0
+    cold_until_s: float = 0
 
     @property
     def reported(self) -> bool:
@@ -76,8 +82,8 @@
 
     @property
     def free(self) -> Resources:
-        """Return the capacity that no run has reserved."""
-        return self.entry.capacity.subtract(self.used)
+        """Return the capacity that no run has reserved and that is kept for none."""
+        return self.entry.capacity.subtract(self.used).subtract(self.held)
 
     def may_start(self, now_s: float) -> bool:
         """Return whether a run may be started on the target at this moment."""
@@ -143,6 +149,10 @@
             self.suspects.discard(run.key)
             self.used = self.used.subtract(run.reserved)
 
+    def note_cold(self) -> None:
+        """Have the target come after warm ones for as long as its registration says."""
+        self.cold_until_s = self.registered_s + self.entry.cold_left_ms / MS_PER_S
+
     def apply_vm_order(self) -> None:
         """Count the runs as unavailable, because the VM is ordered down or moved."""
         self.emptying = True
--- a/comfreywind/scheduling/vm_availability.py
+++ b/comfreywind/scheduling/vm_availability.py
@@ -19,7 +19,7 @@
         for run in target.runs.values()
         if _is_long_running(scheduler_state, run.key)
     }
-    return [_get_step_health(scheduler_state, *step) for step in steps]
+    return [get_step_health(scheduler_state, *step) for step in steps]
 
 
 def evict_colocated(
@@ -35,7 +35,7 @@
         step_key = (run.key.job_id, run.key.occurrence, run.key.step)
         if step_key in evicted or not run.at_work or not _is_long_running(scheduler_state, run.key):
             continue
-        health = _get_step_health(scheduler_state, *step_key)
+        health = get_step_health(scheduler_state, *step_key)
         count_on_target = health.at_work_on[target.entry.target_id]
         if count_on_target > health.limit and health.unavailable < health.limit:
             evicted.add(step_key)
@@ -48,9 +48,10 @@
     return record is not None and record.open and record.job.steps[key.step].long_running
 
 
-def _get_step_health(
+def get_step_health(
     scheduler_state: SchedulerState, job_id: str, occurrence: int, number: int
 ) -> StepHealth:
+    """Return the health of a step of an open job."""
     record = scheduler_state.jobs[job_id]
     step = record.job.steps[number]
     at_work_on: dict[str, int] = {}
--- a/comfreywind/stand_ins/jobs/target_app.py
+++ b/comfreywind/stand_ins/jobs/target_app.py
@@ -70,6 +70,7 @@
         self.late_holds = False
         self.up = True
         self.note_fence: Callable[[int], None] = _ignore_fence
+        self.note_start: Callable[[float], None] = _ignore_start
         self._highest_ended: dict[str, int] = {}
         self._specs: dict[str, str] = {}
         self._zero_s = float(0)
@@ -79,6 +80,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
         order = await read_json(receive, BODY_LIMIT_BYTES)
+        order['arrived_s'] = trio.current_time()
         if self._is_late(scope['path']):
             trio.lowlevel.spawn_system_task(self._carry_out_late, scope['path'], order)
             await trio.sleep_forever()
@@ -149,6 +151,7 @@
         if task not in self.runs:
             now_s = trio.current_time()
             self.log.starts.append((task, run_id, now_s))
+            self.note_start(order['arrived_s'])
             self._specs[task] = order['spec']
             self.runs[task] = StandInRun(run_id, now_s + _read_work_s(order['spec']), now_s)
         if self.unanswered_starts:
@@ -235,6 +238,10 @@
     """Do nothing; tests put an action in its place."""
 
 
+def _ignore_start(arrived_s: float) -> None:
+    """Do nothing; tests note there when the order of a start came."""
+
+
 def _read_work_s(spec: str) -> float:
     if 'last' in spec:
         return float('inf')
--- a/tests/helpers/soak_fleet.py
+++ b/tests/helpers/soak_fleet.py
@@ -1,5 +1,7 @@
 """Nodes in processes of their own, with targets and a store that a test can disturb."""
 
+import base64
+import json
 import os
 import random
 import signal
@@ -18,6 +20,8 @@
 from bench.ports import PORTS
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
+from comfreywind.jobs.tables import TABLE_TERM, TERM_KEY, TERM_PARTITION
+from comfreywind.scheduling.term_row import decode_term
 from comfreywind.settings.address import Address
 from comfreywind.stand_ins.jobs.store_app import StoreApp
 from comfreywind.stand_ins.jobs.target_app import JobTargetApp, StartLog
@@ -36,6 +40,9 @@
 HEADERS = [(b'host', QUEUE_HOST.encode()), (b'authorization', f'Bearer {KEY}'.encode())]
 REJECTED = frozenset((400, 401, 404, 409, 429, 503))
 ATTEMPTS = 5
+DATA_CENTRES = ('north', 'south')
+# The bound of the users for the time from a request to evacuate to the last start there.
+EVACUATE_S = 5.0
 ROOT = Path(__file__).parent.parent.parent
 
 
@@ -45,6 +52,7 @@
     def __init__(self, name: str, folder: Path, store: Address) -> None:
         """Write the settings; nothing runs yet."""
         ports = {kind: PORTS.find_free() for kind in ('peer', 'frontend', 'ready')}
+        self.name = name
         self.path = folder / f'{name}.toml'
         self.path.write_text(SETTINGS.format(name=name, store=store, **ports))
         self.client = HttpClient(Address(HOST, ports['frontend']), 4)
@@ -86,9 +94,15 @@
 class SoakTarget:
     """A target with a server of its own, which a crash takes away for a while."""
 
-    def __init__(self, name: str, log: StartLog, store: StoreApp) -> None:
-        """Start with nothing running, and not registered."""
+    def __init__(self, name: str, log: StartLog, store: StoreApp, data_centre: str) -> None:
+        """Start with nothing running, and register in a data centre.
+
+        `starts` has the times at which the orders came that were carried out.
+        """
         self.name, self.app, self._store = name, JobTargetApp(log), store
+        self.data_centre = data_centre
+        self.starts: list[float] = []
+        self.app.note_start = self.starts.append
         self.address = Address(HOST, PORTS.find_free())
         self._scope = trio.CancelScope()
         self._down_s = 0.0
@@ -96,7 +110,11 @@
 
     def register(self) -> None:
         """Register the present incarnation."""
-        entry = {**describe_target(self.address), 'born': self.app.born_ms}
+        entry = {
+            **describe_target(self.address),
+            'born': self.app.born_ms,
+            'zone': self.data_centre,
+        }
         self._store.write_document('servers', self.name, entry)
 
     async def serve(self) -> None:
@@ -127,6 +145,7 @@
         """Start without jobs."""
         self.nodes, self.targets, self.store, self.log = nodes, targets, store, log
         self.statuses: dict[str, list[int]] = {}
+        self.evacuations: list[tuple[str, float, float]] = []
 
     async def submit(self, job_id: str, count: int, work_s: float, picker: random.Random) -> None:
         """Hand in a job as a client does: again at another node after no answer or a refusal."""
@@ -139,6 +158,43 @@
                 return
             await trio.sleep(1 if status in REJECTED else 0.1)
 
+    async def evacuate(self, data_centre: str, duration_s: float) -> None:
+        """Request an evacuation, and take it back after some time."""
+        requested_s = trio.current_time()
+        self.store.store.put('op', f'evacuate/{data_centre}', 'MQ==')
+        await trio.sleep(duration_s)
+        self.store.store.put('op', f'evacuate/{data_centre}', None)
+        self.evacuations.append((data_centre, requested_s, trio.current_time()))
+
+    def list_late_starts(self) -> list[tuple[str, float]]:
+        """Return starts that were sent to an evacuated data centre after the bound.
+
+        They have the name of the target, and how long after the request they came.
+        """
+        return [
+            (target.name, came_s - requested_s)
+            for target in self.targets
+            for data_centre, requested_s, ended_s in self.evacuations
+            for came_s in target.starts
+            if target.data_centre == data_centre
+            if requested_s + EVACUATE_S < came_s < ended_s
+        ]
+
+    def find_holder(self) -> SoakNode | None:
+        """Return the node that holds the term by its row."""
+        stored = self.store.store.rows.get((TABLE_TERM, TERM_PARTITION, TERM_KEY))
+        if stored is None or stored.value is None:
+            return None
+        holder = decode_term(base64.b64decode(stored.value)).holder
+        return next((node for node in self.nodes if node.name == holder), None)
+
+    def read_evacuation(self, data_centre: str) -> str | None:
+        """Return the state of an evacuation that the operator is shown."""
+        stored = self.store.store.rows.get(('status', '', f'evacuate/{data_centre}'))
+        if stored is None or stored.value is None:
+            return None
+        return str(json.loads(base64.b64decode(stored.value))['state'])
+
     async def wait_ended(self, limit_s: float) -> list[str]:
         """Return the accepted jobs that are neither complete nor failed within the limit.
 
@@ -181,7 +237,10 @@
     store, address = StoreApp(), Address(HOST, PORTS.find_free())
     store.write_document('op', 'config', make_config())
     log = StartLog()
-    targets = [SoakTarget(f'i-{number}', log, store) for number in range(targets_count)]
+    targets = [
+        SoakTarget(f'i-{number}', log, store, DATA_CENTRES[number % len(DATA_CENTRES)])
+        for number in range(targets_count)
+    ]
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(partial(serve_app, store, address, trio.Event()))
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -1,4 +1,5 @@
-"""Seeded soak: targets crash, come back and are cut off; nodes and the store have troubles as well.
+"""Seeded soak: targets crash, come back and are cut off; nodes and the store have troubles as well,
+and the operator evacuates data centres at bad moments.
 
 SOAK_SEEDS gives the seeds to run by hand, as in `SOAK_SEEDS=0-49 pytest tests/processes/test_soak.py`;
 with SOAK_LOGS, the nodes' logs are copied to that folder.
@@ -11,7 +12,7 @@
 import pytest
 import trio
 
-from tests.helpers.soak_fleet import SoakFleet, SoakTarget, run_soak_fleet
+from tests.helpers.soak_fleet import DATA_CENTRES, SoakFleet, SoakTarget, run_soak_fleet
 
 SOAK_S = 10.0
 END_LIMIT_S = 60.0
@@ -73,6 +74,26 @@
             setattr(faults, kind, False)
 
 
+async def disturb_operator(fleet: SoakFleet, generator: random.Random) -> None:
+    """Evacuate data centres at bad moments: with quiet feeds, in an outage, as the holder is lost."""
+    faults = fleet.store.faults
+    async with trio.open_nursery() as nursery:
+        for _ in range(generator.randint(1, 3)):
+            await trio.sleep(generator.uniform(0.5, 4))
+            kind = generator.choice(('none', 'quiet_feeds', 'refusing', 'silent', 'kill'))
+            data_centre, duration_s = generator.choice(DATA_CENTRES), generator.uniform(2, 12)
+            nursery.start_soon(fleet.evacuate, data_centre, duration_s)
+            await trio.sleep(generator.choice((0, 0.1)))
+            holder = fleet.find_holder()
+            if kind == 'kill' and holder is not None:
+                nursery.start_soon(holder.signal, signal.SIGKILL, generator.uniform(0.1, 2.5))
+            elif kind not in {'none', 'kill'}:
+                setattr(faults, kind, True)
+                await trio.sleep(generator.uniform(0.5, 4))
+                setattr(faults, kind, False)
+            await trio.sleep(duration_s)
+
+
 async def hand_in(fleet: SoakFleet, generator: random.Random) -> None:
     """Hand in jobs for the time of the soak."""
     end_s = trio.current_time() + SOAK_S
@@ -86,7 +107,10 @@
 
 @pytest.mark.parametrize('seed', list_seeds())
 async def test_soak(seed: int) -> None:
-    """Runs no task twice at the same time, nothing that was refused, and each job to its end."""
+    """Runs no task twice at the same time, nothing that was refused, and each job to its end.
+
+    Nothing starts in a data centre that is evacuated after the bound.
+    """
     generator = random.Random(seed)
     async with run_soak_fleet(NODES, TARGETS) as fleet:
         await trio.sleep(2)
@@ -94,10 +118,12 @@
             nursery.start_soon(hand_in, fleet, generator)
             nursery.start_soon(disturb_nodes, fleet, generator)
             nursery.start_soon(disturb_store, fleet, generator)
+            nursery.start_soon(disturb_operator, fleet, random.Random(f'operator {seed}'))
             for target in generator.sample(fleet.targets, TARGETS - 1):
                 await trio.sleep(generator.uniform(0.5, 2))
                 nursery.start_soon(disturb_target, target, generator)
         unfinished = await fleet.wait_ended(END_LIMIT_S)
         doubles = [target.app.list_doubles() for target in fleet.targets][-1]
         assert (doubles, fleet.list_refused(), unfinished) == ([], [], [])
+        assert fleet.list_late_starts() == []
         assert any(200 in statuses for statuses in fleet.statuses.values())
--- a/tests/scheduling/test_capacity_index.py
+++ b/tests/scheduling/test_capacity_index.py
@@ -29,6 +29,7 @@
         st.frozensets(st.sampled_from(['r1', 'r2', 'big']), max_size=2),
         st.booleans(),
         st.booleans(),
+        st.booleans(),
     ),
     unique_by=lambda target: target.target_id,
 )
@@ -75,6 +76,7 @@
                 max(0, count + 1 - step.unavailable_limit) if step.unavailable_limit else 0,
                 step.best_effort and target.serving,
                 bool(step.preferred_rack) and step.preferred_rack not in target.labels,
+                target.cold,
                 target.free.cpu_millicores,
                 target.target_id,
             )
--- a/tests/scheduling/test_evacuation_starts.py
+++ b/tests/scheduling/test_evacuation_starts.py
@@ -162,10 +162,16 @@
         return dict(self.keys)
 
 
-def make_watch(rows: FakeRows, added: list[frozenset[str]]) -> EvacuationWatch:
+def make_watch(
+    rows: FakeRows, changes: list[tuple[frozenset[str], frozenset[str]]]
+) -> EvacuationWatch:
     """Return a watch whose feed is quiet."""
     return EvacuationWatch(
-        cast('RowsClient', rows), trio.sleep_forever, TrioClock(), BOUND_S, added.append
+        cast('RowsClient', rows),
+        trio.sleep_forever,
+        TrioClock(),
+        BOUND_S,
+        lambda *change: changes.append(change),
     )
 
 
@@ -174,8 +180,8 @@
 
     The store's feeds are quiet for a second while it drops its history.
     """
-    rows, added = FakeRows(), cast('list[frozenset[str]]', [])
-    watch = make_watch(rows, added)
+    rows, changes = FakeRows(), cast('list[tuple[frozenset[str], frozenset[str]]]', [])
+    watch = make_watch(rows, changes)
     async with trio.open_nursery() as nursery:
         assert not watch.may_start('dc')
         nursery.start_soon(watch.run)
@@ -188,7 +194,7 @@
         await trio.sleep(1)
         assert watch.may_start('dc')
         nursery.cancel_scope.cancel()
-    assert added == [frozenset(('dc',)), frozenset()]
+    assert changes == [(frozenset(('dc',)), frozenset()), (frozenset(), frozenset(('dc',)))]
 
 
 @pytest.mark.parametrize('failing', [False, True])
@@ -242,3 +248,17 @@
         assert 'not started' not in caplog.text
         fleet.store.store.put('op', 'evacuate/dc', None)
         await fleet.wait_for_state(1, JOB_ID, 'complete')
+
+
+async def test_late_order_is_refused() -> None:
+    """A target that carries out a start late, after the request, refuses it by its fence."""
+    async with run_job_fleet(node_count=1, target_count=1) as fleet:
+        fleet.targets[0].late_s = 3
+        assert await fleet.submit(0, JOB_ID) == 200
+        await trio.sleep(1)
+        fleet.store.store.put('op', 'evacuate/dc', 'MQ==')
+        fleet.targets[0].late_s = 0
+        await trio.sleep(3.5)
+        assert not fleet.log.starts
+        fleet.store.store.put('op', 'evacuate/dc', None)
+        await fleet.wait_for_state(0, JOB_ID, 'complete')
--- a/tests/scheduling/test_pool_sizer.py
+++ b/tests/scheduling/test_pool_sizer.py
@@ -101,3 +101,60 @@
     vms = {f'off{number}': replace(off, name=f'off{number}') for number in range(4)}
     sizer = PoolSizer(harness.scheduler_state, replace(POLICY, target_fill=1))
     assert len(sizer.choose(POOLS, {**VMS, **vms}, harness.now_s)) == moves
+
+
+EVACUATED_VMS = {
+    name: replace(vm, data_centre='north') if name in {'vm0', 'vm1'} else vm
+    for name, vm in VMS.items()
+}
+SPARE = {
+    f's{number}': Vm(f's{number}', 'standby', True, zone, frozenset(), Resources(4000, 10_000), '')
+    for number, zone in enumerate(('north', 'dc', 'dc'))
+}
+
+
+def evacuate(harness: SchedulerHarness, evacuated: set[str]) -> PoolSizer:
+    """Return a sizer of pools whose targets t0 and t1 are in a data centre of their own."""
+    for target in ('t0', 't1'):
+        harness.place_target(target, 'north')
+    policy = replace(POLICY, target_fill=1)
+    return PoolSizer(harness.scheduler_state, policy, list_evacuated=lambda: frozenset(evacuated))
+
+
+def test_evacuated_vms_are_replaced() -> None:
+    """A pool gets VMs from elsewhere before the runs that are to leave need them.
+
+    VMs of the evacuated data centre neither come from standby nor go there.
+    """
+    harness = SchedulerHarness(targets=4)
+    for number in range(12):
+        harness.add_job(make_job(job_id=f'{number:016x}'))
+    harness.start()
+    sizer = evacuate(harness, {'north'})
+    vms = {**EVACUATED_VMS, **SPARE}
+    moves = sizer.choose(POOLS, vms, harness.now_s)
+    assert moves == [VmMove('s1', POOL)]
+    assert not sizer.start_move(vms['s0'], POOL, harness.now_s)
+
+
+def test_pool_waits_for_requests() -> None:
+    """A new holder moves no VM before it knows which data centres are evacuated."""
+    harness = SchedulerHarness(targets=4)
+    sizer = PoolSizer(harness.scheduler_state, POLICY, list_evacuated=lambda: None)
+    assert not choose_later(sizer, harness)
+
+
+def test_no_burst_after_evacuation() -> None:
+    """VMs that are usable again make a surplus at once; it leaves the pool one VM at a time."""
+    harness = SchedulerHarness(targets=4)
+    evacuated = {'north'}
+    sizer = evacuate(harness, evacuated)
+    assert len(sizer.choose(POOLS, EVACUATED_VMS, harness.now_s)) == 0
+    evacuated.clear()
+    counts = []
+    for _ in range(40):
+        moves = sizer.choose(POOLS, EVACUATED_VMS, harness.now_s)
+        counts.append(len(moves))
+        harness.now_s += 0.2
+    assert max(counts) == 1
+    assert 5 <= sum(counts) <= 8
