--- a/comfreywind/cli/jobs.py
+++ b/comfreywind/cli/jobs.py
@@ -12,6 +12,7 @@
 from comfreywind.errors import JobRequestError
 from comfreywind.platform.caller_codec import JOB_ID_PATTERN
 from comfreywind.platform.rows_client import RowsClient
+from comfreywind.report.evacuation_report import read_evacuation_report
 from comfreywind.report.fleet_report import (
     Cells,
     read_pool_report,
@@ -100,6 +101,15 @@
     print_table(env, store_address, headings, read_wave_report)
 
 
+@jobs_group.command(name='evacuations')
+@store_option
+@click.pass_obj
+def show_evacuations(env: Environment, store_address: str) -> None:
+    """Show the data centres to be evacuated and how far that is."""
+    headings = ('data centre', 'state', 'reason')
+    print_table(env, store_address, headings, read_evacuation_report)
+
+
 def print_report(env: Environment, store_address: str, read: ReadReport) -> None:
     """Read from the store and print a table of fields and values."""
     print_table(env, store_address, HEADINGS, read)
--- a/tests/scheduling/test_evacuation_moves.py
+++ b/tests/scheduling/test_evacuation_moves.py
@@ -31,7 +31,7 @@
         """Start a job of each step in the old data centre, and evacuate it."""
         self.harness = SchedulerHarness(targets=2)
         for number, step in enumerate(steps):
-            self.harness.add_job(make_job(step, job_id=f'{number:016x}'))
+            self.harness.add_job(make_job(step, job_id=f'{number:016x}', accepted_ms=number))
         assert self.harness.start()
         for target in ('t0', 't1'):
             self.harness.place_target(target, OLD)
@@ -111,6 +111,12 @@
     assert rig.mover.count_vms_for_moves('north') == (2 if step is SERVING else 0)
 
 
+def test_gang_without_room_takes_no_place() -> None:
+    """A gang that does not fit as a whole leaves the places to others."""
+    rig = Rig(GANG, SAVED, new_targets=1)
+    assert [order.key.job_id for order in rig.stop()] == [f'{1:016x}']
+
+
 def test_place_is_kept() -> None:
     """Short tasks don't take the place of a long-running one that is to come, however many wait."""
     rig = Rig(Step(1, HALF, long_running=True, unavailable_limit=1), new_targets=1)
@@ -147,6 +153,8 @@
     assert len(orders) == GANG.task_count
     rig.end(orders[:2])
     assert not rig.start()
+    # Other tasks can't take the places of those that have ended first.
+    assert len(rig.mover.holds.by_key) == GANG.task_count
     rig.end(orders[2:])
     assert len({order.run_id for order in rig.start()}) == 1
 
--- a/tests/test_jobs_command.py
+++ b/tests/test_jobs_command.py
@@ -65,20 +65,28 @@
 
 
 async def test_fleet_tables() -> None:
-    """Lists the jobs of a queue, the pools, the teams and the maintenance waves."""
+    """Lists the jobs of a queue, the pools, the teams, the maintenance waves and the evacuations."""
     async with run_job_fleet(node_count=1, target_count=2) as fleet:
         store = str(fleet.store_address)
         wave = {'rollout_wave': 4, 'machines': ['m-1', 'm-2'], 'cap': 1, 'duration_s': 30}
         fleet.store.write_document('op', 'wave/4', wave)
+        fleet.store.write_document('op', 'evacuate/north', {})
         await fleet.submit(0, JOB, 'work_s=5')
         shown = {
             subject: (await run_jobs(*subject, '--store', store)).stdout.splitlines()[1].split()
-            for subject in (('list', 'rebuild'), ('pools',), ('teams',), ('waves',))
+            for subject in (
+                ('list', 'rebuild'),
+                ('pools',),
+                ('teams',),
+                ('waves',),
+                ('evacuations',),
+            )
         }
         assert shown['list', 'rebuild'][:2] == [JOB, 'crews']
         assert shown['list', 'rebuild'][-3:] == ['0', 'of', '2']
         assert shown['pools',] == ['crossings', 'working', '2', '0', '8.0']
         assert shown['teams',] == ['crews', '10.0', 'none', '1']
+        assert shown['evacuations',][0] == 'north'
         assert shown['waves',] == ['4', '2', '0', '1', '30.0']
 
 
