Tell the holder in which data centres there are nodes

Cause: a request for a data centre with nodes, but no target or VM, was shown as rejected unless the holder was in it.

Each node writes its data centre in the transaction of its row of the nodes, into a table of its own; the holder reads it only for a request that no target or VM explains.

--- a/comfreywind/jobs/tables.py
+++ b/comfreywind/jobs/tables.py
@@ -8,6 +8,8 @@
 TABLE_PROGRESS = 'comfreywind-progress'
 TABLE_TERM = 'comfreywind-term'
 TABLE_NODES = 'comfreywind-nodes'
+# Nodes of earlier versions can't read rows of the table before with another field.
+TABLE_NODE_DATA_CENTRES = 'comfreywind-node-zones'
 NODES_PARTITION = 'nodes'
 
 # A partition of its own, so that a renewal of the term never waits for another write.
--- a/comfreywind/node/peer_directory.py
+++ b/comfreywind/node/peer_directory.py
@@ -8,8 +8,9 @@
 
 from comfreywind.clock import Clock
 from comfreywind.errors import StoreUnavailableError
+from comfreywind.jobs.node_data_centre import encode_node_data_centre
 from comfreywind.jobs.row_format import RowFormatError, wrap_row_errors
-from comfreywind.jobs.tables import NODES_PARTITION, TABLE_NODES
+from comfreywind.jobs.tables import NODES_PARTITION, TABLE_NODE_DATA_CENTRES, TABLE_NODES
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import RowChange, StoredRow
 from comfreywind.settings.address import Address
@@ -27,8 +28,11 @@
 class PeerDirectory:
     """Owns the row of this node and a copy of the rows of the others."""
 
-    def __init__(self, rows: RowsClient, node: str, address: Address, clock: Clock) -> None:
+    def __init__(
+        self, rows: RowsClient, node: str, data_centre: str, address: Address, clock: Clock
+    ) -> None:
         """Register `node`, which takes relayed calls at the address."""
+        self._data_centre = data_centre
         self._rows = rows
         self._node = node
         self._address = address
@@ -60,8 +64,13 @@
         if self._rows.store_time is None:
             # Any read tells the store's time, which the row needs.
             await self._rows.read_row(TABLE_NODES, NODES_PARTITION, self._node)
-        payload = encode_node(self._address, self._get_store_ms())
-        await self._rows.commit(NODES_PARTITION, [RowChange(TABLE_NODES, self._node, payload)])
+        now_ms = self._get_store_ms()
+        data_centre = encode_node_data_centre(self._data_centre, now_ms)
+        changes = [
+            RowChange(TABLE_NODES, self._node, encode_node(self._address, now_ms)),
+            RowChange(TABLE_NODE_DATA_CENTRES, self._node, data_centre),
+        ]
+        await self._rows.commit(NODES_PARTITION, changes)
 
     async def _read(self) -> None:
         page = await self._rows.read_partition(TABLE_NODES, NODES_PARTITION)
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -71,7 +71,9 @@
         self._directory: PeerDirectory | None = None
         relay: PeerRelay | None = None
         if settings.peer_address is not None:
-            self._directory = PeerDirectory(self._rows, settings.name, settings.peer_address, clock)
+            self._directory = PeerDirectory(
+                self._rows, settings.name, settings.data_centre, settings.peer_address, clock
+            )
             relay = PeerRelay(self._directory.list_peers, clock, self._metrics)
         self._job_app = JobApp(self._rules, store, self._keeper, clock, self._metrics, relay)
         # Calls that another node has handed over are not handed over again.
--- a/comfreywind/scheduling/evacuation.py
+++ b/comfreywind/scheduling/evacuation.py
@@ -16,6 +16,7 @@
 from comfreywind.scheduling.evacuation_mover import EvacuationMover
 from comfreywind.scheduling.evacuation_status import EvacuationStatus
 from comfreywind.scheduling.evacuation_watch import EvacuationWatch
+from comfreywind.scheduling.node_data_centres import NodeDataCentres
 from comfreywind.scheduling.orders import Order
 from comfreywind.scheduling.rules_follower import RulesFollower
 from comfreywind.scheduling.scheduler_state import SchedulerState
@@ -40,7 +41,6 @@
         scheduler_state: SchedulerState,
         clock: Clock,
         evacuate_s: float,
-        own_data_centre: str,
         may_order: Callable[[], bool],
         publish: Callable[[list[Order]], None],
         poll_anew: Callable[[str], None],
@@ -60,7 +60,7 @@
         )
         self._mover = EvacuationMover(scheduler_state, self._may_move_to)
         self._status = EvacuationStatus(rows, may_order)
-        self._own_data_centre = own_data_centre
+        self._nodes = NodeDataCentres(rows, clock)
         self._vm_watch: VmWatch | None = None
         self._all_runs_known: Callable[[], bool] = bool
         self._existing: set[str] = set()
@@ -87,7 +87,8 @@
 
     def may_start_on(self, target: TargetRecord, now_s: float) -> bool:
         """Return whether a plan may start runs on a target."""
-        return self.may_send_start(target) and target.may_start(now_s)
+        may_start = self.watch.may_start_at(target.entry.data_centre, now_s)
+        return may_start and target.may_start(now_s)
 
     def may_send_start(self, target: TargetRecord) -> bool:
         """Return whether a start may be sent to a target at this moment."""
@@ -127,6 +128,8 @@
         )
 
     async def _advance(self) -> None:
+        if not self._list_requested() <= self._existing | self._list_existing():
+            await self._nodes.refresh()
         if not (self.watch.is_recent() and self._may_order()):
             return
         requested = self._list_requested()
@@ -166,7 +169,8 @@
     def _exists(self, data_centre: str) -> bool | None:
         if data_centre in self._existing:
             return True
-        return False if self._knows_vms() else None
+        known = self._knows_vms() and self._nodes.found is not None
+        return False if known else None
 
     def _knows_vms(self) -> bool:
         return self._vm_watch is None or bool(self._vm_watch.vms)
@@ -179,8 +183,8 @@
         return self.watch.data_centres or frozenset()
 
     def _list_existing(self) -> set[str]:
-        """Return the data centres of all targets and VMs, and that of this node."""
-        return self._list_with_capacity() | {self._own_data_centre}
+        """Return the data centres of all targets, VMs and nodes that are known."""
+        return self._list_with_capacity() | (self._nodes.found or frozenset())
 
     def _list_with_capacity(self) -> set[str]:
         found = {
--- a/comfreywind/scheduling/evacuation_watch.py
+++ b/comfreywind/scheduling/evacuation_watch.py
@@ -60,7 +60,10 @@
 
     def may_start(self, data_centre: str) -> bool:
         """Return whether a task may be started in the data centre at this moment."""
-        now_s = self._clock.read_monotonic_s()
+        return self.may_start_at(data_centre, self._clock.read_monotonic_s())
+
+    def may_start_at(self, data_centre: str, now_s: float) -> bool:
+        """Return the same for a plan, which reads the clock once."""
         return self._copy.may_start(data_centre, now_s, self._age_limit_s)
 
     async def run(self) -> None:
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -98,7 +98,6 @@
             self.scheduler_state,
             clock,
             settings.timings.evacuate_s,
-            settings.data_centre,
             self._may_order,
             self.submit_orders,
             self._poll_anew,
