Put the jobs of a team beyond its share behind those of others

Cause: the order of work knows a mark `excess` for work beyond the share of a team, but nothing has set it. So while one team sends seven times its usual, jobs of all teams are late alike.

Change: twice a second the holder marks the jobs that have not begun of the teams that are beyond their share while another team with work is within its own. The waits count only jobs that can be on time, because a new job goes before all others.

--- a/comfreywind/scheduling/wait_estimator.py
+++ b/comfreywind/scheduling/wait_estimator.py
@@ -14,7 +14,7 @@
     measure_step_work,
     scale_resources,
 )
-from comfreywind.decisions.scheduling.work_order import LATE_FACTOR, estimate_task_ms
+from comfreywind.decisions.scheduling.work_order import estimate_task_ms
 from comfreywind.jobs.queue import Queue
 from comfreywind.jobs.resources import NO_RESOURCES, Resources, sum_resources
 from comfreywind.jobs.team import Team
@@ -121,13 +121,13 @@
 def _is_left_out(record: JobRecord, now_ms: float) -> bool:
     """Return whether a job takes no capacity from one that is handed in now.
 
-    Long-running jobs reduce the capacity instead. A job that can't be done any more while it has
-    value is scheduled behind all others.
+    Long-running jobs reduce the capacity instead. A job that can't be on time any more is scheduled
+    behind all that can, and so behind a new one.
     """
     if record.job.long_running:
         return True
     since_ms = max(record.job.accepted_ms, record.job.first_due_ms)
-    return now_ms + record.remaining_ms > since_ms + LATE_FACTOR * record.objective_ms
+    return now_ms + record.remaining_ms > since_ms + record.objective_ms
 
 
 def _measure_open_work(record: JobRecord) -> Resources:
--- a/comfreywind/scheduling/wait_publisher.py
+++ b/comfreywind/scheduling/wait_publisher.py
@@ -6,6 +6,7 @@
 
 from comfreywind.clock import Clock
 from comfreywind.metrics import Metrics
+from comfreywind.scheduling.excess_marks import mark_excess
 from comfreywind.scheduling.scheduler_state import SchedulerState
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.wait_estimator import WaitEstimator
@@ -43,10 +44,11 @@
             self.publish()
 
     def publish(self) -> None:
-        """Estimate the waits by the present state and have them written with the term."""
+        """Estimate the waits, have them written with the term, and mark jobs for the planner."""
         taken_s = self._clock.read_monotonic_s()
         now_ms = self._clock.read_utc().timestamp() * MS_PER_S
         waits = self._estimator.estimate(self._count_arriving(), now_ms)
+        mark_excess(self._state, waits)
         self._keeper.publish_waits(self._term, waits, self._state.rules, taken_s)
         for queue in self._state.rules.queues:
             total_s = waits[queue].total_s if queue in waits else 0
