--- a/comfreywind/exposed_metrics.py
+++ b/comfreywind/exposed_metrics.py
@@ -17,7 +17,8 @@
 class ExposedMetrics:
     """Keeps counters, duration histograms and levels, and serves them as an ASGI app.
 
-    A metric comes into being when it is first used; dots in its name become underscores.
+    A metric comes into being when it is first used; dots in its name become underscores. Names that
+    become the same, such as those of two queues, share a metric.
     """
 
     def __init__(self) -> None:
@@ -38,10 +39,11 @@
 
     def count(self, name: str) -> None:
         """Count one event."""
-        counter = self._counters.get(name)
+        spelled = _spell(name)
+        counter = self._counters.get(spelled)
         if counter is None:
-            counter = Counter(_spell(name), name, registry=self._registry)
-            self._counters[name] = counter
+            counter = Counter(spelled, name, registry=self._registry)
+            self._counters[spelled] = counter
         counter.inc()
 
     def record_duration(self, name: str, duration_s: float) -> None:
@@ -55,10 +57,11 @@
 
     def set_level(self, name: str, level: float) -> None:
         """Record the present level of something."""
-        gauge = self._gauges.get(name)
+        spelled = _spell(name)
+        gauge = self._gauges.get(spelled)
         if gauge is None:
-            gauge = Gauge(_spell(name), name, registry=self._registry)
-            self._gauges[name] = gauge
+            gauge = Gauge(spelled, name, registry=self._registry)
+            self._gauges[spelled] = gauge
         gauge.set(level)
 
 
--- a/tests/test_exposed_metrics.py
+++ b/tests/test_exposed_metrics.py
@@ -45,3 +45,14 @@
         taken = fleet.metrics_addresses[0]
         async with fleet.run_node('node-1', metrics_address=taken) as node:
             assert await fleet.submit(node, '00000000000000c1') == 200
+
+
+def test_names_that_become_the_same() -> None:
+    """Guards against an error of the holder or a call when two queues differ in punctuation only."""
+    metrics = ExposedMetrics()
+    for queue in ('re-build', 're_build'):
+        metrics.count(f'refused_for_scarcity.{queue}')
+        metrics.set_level(f'scarce_queue_wait_s.{queue}', 7)
+    shown = metrics.render().decode().splitlines()
+    assert 'comfreywind_refused_for_scarcity_re_build_total 2.0' in shown
+    assert 'comfreywind_scarce_queue_wait_s_re_build 7.0' in shown
