Let one module say which runs of a target may still exist

A VM that is down names no target, and VmWatch took the missing id for one that never returns: it closed the starts without a reply 0.7 s after the kill, and the next incarnation carried them out. Beside these, a start that an incarnation confirmed of which only the registration was read counted as settled, while a late extension could lengthen its lease beyond the known end.

Change: TargetDoubt owns the fence, the end of the lease and what lists of VMs tell of the present incarnation. Starts stay open while evidence comes from a target in doubt, so the next holder reads them too. Starts are closed by the list only when the VM has another target or is removed. A list ends runs only after one has shown the present incarnation as live. A reply of an earlier incarnation no longer opens its start again, which bound the task for 18.5 s for nothing.

--- a/comfreywind/lab/emulator.py
+++ b/comfreywind/lab/emulator.py
@@ -197,7 +197,8 @@
         if record is None:
             return
         report = vm.report(int(self._now_s * MS_PER_S))
-        self._send(self._state.apply_report(record, report, record.fence, self._now_s, self._now_s))
+        fence = record.doubt.fence
+        self._send(self._state.apply_report(record, report, fence, self._now_s, self._now_s))
         # A report may hold several ends of a job, which is complete only once.
         for job_id in dict.fromkeys(ended.key.job_id for ended in report.ended):
             if not self._state.jobs[job_id].open:
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -200,7 +200,7 @@
 
         An order that was made before the fence was raised has a lease on another clock.
         """
-        return self._may_order() and fence == record.fence
+        return self._may_order() and fence == record.doubt.fence
 
     def _may_order_vm(self, vm: str) -> bool:
         """Return whether an order for the VM may be sent at this moment."""
@@ -262,15 +262,16 @@
         pools = self._make_pool_keeper(client, self._watch)
         self._start('upkeep', upkeep.run)
         self._start('pools', pools.run)
-        needed = partial(self._needs_vm_list, upkeep, pools)
+        needed = partial(self._needs_vm_list, self._watch, upkeep, pools)
         self._start('VM list', partial(self._watch.run, needed, self._wake_planner))
 
     def _is_gone(self, target_id: str) -> bool:
         """Return whether the VM list shows that this incarnation of the target has ended."""
         return self._watch is not None and self._watch.is_dead(target_id, self._term.taken_s)
 
-    def _needs_vm_list(self, upkeep: MaintenanceKeeper, pools: PoolKeeper) -> bool:
-        return upkeep.is_busy() or pools.is_busy() or self._has_unconfirmed_runs()
+    def _needs_vm_list(self, watch: VmWatch, upkeep: MaintenanceKeeper, pools: PoolKeeper) -> bool:
+        checks_targets = watch.needs_live_check() or self._has_unconfirmed_runs()
+        return upkeep.is_busy() or pools.is_busy() or checks_targets
 
     def _has_unconfirmed_runs(self) -> bool:
         """Return whether the VM list could show that runs have ended with their VM."""
@@ -368,12 +369,12 @@
     def _register(self, entry: TargetEntry) -> None:
         """Add or update a target, and poll one that has restarted under its id."""
         known = self.scheduler_state.targets.get(entry.target_id)
-        fence = None if known is None else known.fence
+        fence = None if known is None else known.doubt.fence
         record = self.scheduler_state.register_target(entry)
         record.leaving = False
         self._wake.set()
         link = self._links.get(entry.target_id)
-        if link is not None and record.fence != fence:
+        if link is not None and record.doubt.fence != fence:
             link.poll_anew()
 
     def _start_link(self, target_id: str) -> None:
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -32,7 +32,8 @@
     holder is about to end. `at_work` is set while a task has reported 100 % and is not ending.
     `level` is the tail latency that the task reports, in milliseconds. `last_progress_s` is when
     `progress_percent`, how much of the task is done, last increased, or 0 before the first report.
-    `evidence` is what shows that the run has started. `suspect` marks the run of a task that may
+    `evidence` is what shows that the run has started, and `confirmed_ms` the start of the incarnation
+    that has shown it, or 0. `suspect` marks the run of a task that may
     crash its target: nothing else is started there until a report has shown progress of the run.
     """
 
@@ -57,6 +58,7 @@
     best_effort: bool = False
     long_running: bool = False
     evidence: StartEvidence = StartEvidence.NONE
+    confirmed_ms: int = 0
     suspect: bool = False
 
     @property
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -10,12 +10,9 @@
 
 from comfreywind.decisions.scheduling.crash_blame import StartEvidence
 from comfreywind.decisions.scheduling.fences import FENCES_PER_TERM
-from comfreywind.decisions.scheduling.open_start import (
-    DEFAULT_LEASE_LIMIT_S,
-    compute_late_lease_s,
-    compute_longest_lease_s,
-)
+from comfreywind.decisions.scheduling.open_start import DEFAULT_LEASE_LIMIT_S
 from comfreywind.decisions.scheduling.pace import choose_pace
+from comfreywind.decisions.scheduling.target_doubt import TargetDoubt
 from comfreywind.jobs.job import Job
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.job_state import JobState
@@ -165,11 +162,8 @@
         """Add or update a target, which may be a new incarnation under the same id."""
         record = self.targets.get(entry.target_id)
         if record is None:
-            record = TargetRecord(
-                entry,
-                incarnation_start_ms=entry.incarnation_start_ms,
-                fence=self.first_fence,
-            )
+            doubt = TargetDoubt(self.first_fence, entry.incarnation_start_ms)
+            record = TargetRecord(entry, doubt=doubt)
             self.targets[entry.target_id] = record
             return record
         if entry.incarnation_start_ms > record.incarnation_start_ms:
@@ -212,8 +206,8 @@
 
         Orders that have not been sent or carried out yet must not take effect any more.
         """
-        self._drop_runs(record.runs.values())
-        if record.fenced:
+        self._drop_runs(record, record.runs.values())
+        if record.doubt.settled:
             record.raise_fence()
 
     def apply_report(
@@ -244,10 +238,8 @@
             orders.extend(self._apply_active(record, active.key, active.run_id, now_s))
             _apply_progress(record.runs.get(active.key), active, now_s)
         orders.extend(self._pace_best_effort_runs(record))
-        if not record.fenced:
-            self._reckon_unknown_lease(record, fence, now_s)
-            if fence == record.fence:
-                orders.extend(self._confirm_incarnation(record, report, now_s))
+        if not record.doubt.settled:
+            orders.extend(self._settle(record, report, fence, now_s))
             return orders
         record.heard_s = now_s
         record.lapsed_runs = ()
@@ -260,10 +252,8 @@
     def apply_start_answer(self, order: StartOrder, reply: StartReply, now_s: float) -> list[Order]:
         """Apply the reply to a start order and return the orders that follow."""
         answer = reply.answer
-        self._record_start_answer(order, answer, now_s)
         record = self.targets.get(order.target_id)
-        if record is not None and answer is StartAnswer.STARTED:
-            self._check_incarnation(record, order, reply, now_s)
+        self._record_reply(record, order, reply, now_s)
         run = self._get_run(order.target_id, order.key, order.run_id)
         if record is None or run is None:
             return []
@@ -425,45 +415,61 @@
         record.known_runs = max(record.known_runs, shown)
         record.silent = False
 
-    def _record_start_answer(self, order: StartOrder, answer: StartAnswer, now_s: float) -> None:
-        """Record whether the target may carry out a start order later."""
-        run = self._get_run(order.target_id, order.key, order.run_id)
-        if answer not in ANSWERS_WITHOUT_REPLY:
+    def _record_reply(
+        self, record: TargetRecord | None, order: StartOrder, reply: StartReply, now_s: float
+    ) -> None:
+        """Record whether a start order may still be carried out."""
+        if reply.answer in ANSWERS_WITHOUT_REPLY:
+            self._record_no_reply(order, now_s)
+        elif record is not None and reply.answer is StartAnswer.STARTED:
+            self._record_start(record, order, reply, now_s)
+        else:
             self.open_starts.close(order.key, order.run_id)
-        elif run is None:
+
+    def _record_no_reply(self, order: StartOrder, now_s: float) -> None:
+        """Record that the target may carry out a start order later."""
+        run = self._get_run(order.target_id, order.key, order.run_id)
+        if run is None:
             self.open_starts.extend(order.key, order.run_id, now_s)
-        elif order.key.job_id in self.jobs:
-            self.open_starts.add(run.key, run.target_id, run.run_id, now_s)
+        else:
+            self._bind(run.target_id, run.key, run.run_id, now_s)
 
-    def _check_incarnation(
+    def _record_start(
         self, record: TargetRecord, order: StartOrder, reply: StartReply, now_s: float
     ) -> None:
-        """Raise the fence of a target if another incarnation of it may have carried out a start."""
-        if record.is_from_present(reply, now_s):
-            return
+        """Record which incarnation has carried out a start order.
+
+        The order stays open unless a settled incarnation has: another one counts the lease from a
+        clock that the order doesn't know, and late orders may extend it.
+        """
         run = self._get_run(order.target_id, order.key, order.run_id)
         if run is not None:
-            # A target that has restarted counts the lease from a clock that the order doesn't know.
-            self.open_starts.add(run.key, run.target_id, run.run_id, now_s)
-        if record.fenced and reply.tells_incarnation:
+            run.confirmed_ms = max(reply.incarnation_start_ms or record.incarnation_start_ms, 1)
+        if 0 < reply.incarnation_start_ms < record.incarnation_start_ms:
+            # The run has ended with its incarnation.
+            self.open_starts.close(order.key, order.run_id)
+            return
+        is_present = record.is_from_present(reply, now_s)
+        if run is None or not (is_present and record.doubt.settled):
+            self._record_no_reply(order, now_s)
+        else:
+            self.open_starts.close(order.key, order.run_id)
+        if record.doubt.settled and reply.tells_incarnation and not is_present:
             log.info(
                 'target %s: it may have restarted, as its reply to a start tells another clock',
                 record.entry.target_id,
             )
             record.raise_fence()
 
-    def _reckon_unknown_lease(self, record: TargetRecord, fence: int, now_s: float) -> None:
-        """Record until when the runs of a target may live that may have restarted.
-
-        Their lease may have come from an order with a time on the clock of an earlier incarnation.
-        Without the latest fence, another one may still arrive.
-        """
-        if not record.runs:
-            return
-        if fence == record.fence:
-            record.lease_end_s = now_s + compute_longest_lease_s(self._lease_limit_s)
-        else:
-            record.lease_end_s = now_s + compute_late_lease_s(self._lease_limit_s)
+    def _settle(
+        self, record: TargetRecord, report: TargetReport, fence: int, now_s: float
+    ) -> list[Order]:
+        """Settle a target in doubt, if its report was requested with the present fence."""
+        if record.runs:
+            record.doubt.record_runs(fence, now_s, self._lease_limit_s)
+        if fence != record.doubt.fence:
+            return []
+        return self._confirm_incarnation(record, report, now_s)
 
     def _confirm_incarnation(
         self, record: TargetRecord, report: TargetReport, now_s: float
@@ -477,10 +483,9 @@
         missing = [run for run in record.runs.values() if (run.key, run.run_id) not in listed]
         if missing and not report.complete:
             return []
-        if record.restarted:
+        if record.doubt.restarted:
             self._blame_crash(record, missing)
-        record.fenced = True
-        record.restarted = False
+        record.doubt.settle(now_s)
         record.lapsed_runs = ()
         if missing:
             log.info(
@@ -488,7 +493,7 @@
                 record.entry.target_id,
                 len(missing),
             )
-        self._drop_runs(missing)
+        self._drop_runs(record, missing)
         orders: list[Order] = []
         for key, run_id in listed:
             orders.extend(self._apply_active(record, key, run_id, now_s))
@@ -504,14 +509,27 @@
         if lost and not (record.entry.draining or record.emptying):
             self._apply_crash(record, lost)
 
-    def _drop_runs(self, runs: Iterable[RunRecord]) -> None:
-        """Drop runs that have certainly ended, and requeue their tasks."""
+    def _drop_runs(self, record: TargetRecord, runs: Iterable[RunRecord]) -> None:
+        """Drop runs that have ended, and requeue their tasks.
+
+        A task whose run may exist again or still, because of an order that is carried out late, may
+        be started on the same target only.
+        """
         for run in tuple(runs):
-            if run.may_be_unanswered and run.key.job_id in self.jobs:
-                self.open_starts.add(run.key, run.target_id, run.run_id, run.started_s)
+            if run.may_be_unanswered or record.doubt.may_extend(run.confirmed_ms):
+                self._bind(
+                    run.target_id, run.key, run.run_id, max(run.started_s, record.doubt.ordered_s)
+                )
+            elif run.confirmed_ms:
+                self.open_starts.close(run.key, run.run_id)
             self.discard_run(run)
             self.requeue(run.key)
 
+    def _bind(self, target_id: str, key: TaskKey, run_id: int, sent_s: float) -> None:
+        """Bind a task to a target until orders that were sent until `sent_s` have no effect."""
+        if key.job_id in self.jobs:
+            self.open_starts.add(key, target_id, run_id, sent_s)
+
     def _apply_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
         if answer is StartAnswer.REPLACED:
             record.leaving = True
@@ -614,16 +632,19 @@
     def _apply_active(
         self, target: TargetRecord, key: TaskKey, run_id: int, now_s: float
     ) -> list[Order]:
-        run = target.runs.get(key)
         self._mark_job_started(key.job_id)
-        self.open_starts.close(key, run_id)
-        if run is not None and run.run_id == run_id:
+        orders = [] if key in target.runs else self._adopt_run(target, key, run_id, now_s)
+        run = target.runs[key]
+        if target.doubt.settled:
+            self.open_starts.close(key, run_id)
+        else:
+            # A late order may extend its lease, which the next holder has to know.
+            self._bind(run.target_id, key, run_id, now_s)
+        if run.run_id == run_id:
+            run.confirmed_ms = max(target.incarnation_start_ms, 1)
             if run.state is RunState.UNCONFIRMED:
                 run.state = RunState.RUNNING
-            return []
-        if run is not None:
-            return []
-        return self._adopt_run(target, key, run_id, now_s)
+        return orders
 
     def _adopt_run(
         self, target: TargetRecord, key: TaskKey, run_id: int, now_s: float
--- a/comfreywind/scheduling/settlement.py
+++ b/comfreywind/scheduling/settlement.py
@@ -125,7 +125,7 @@
         return any(
             record.known_runs is KnownRuns.ACTIVE
             and not self._is_gone(target_id)
-            and not (record.silent and now_s >= max(record.lease_end_s, earlier_end_s))
+            and not (record.silent and now_s >= max(record.doubt.lease_end_s, earlier_end_s))
             for target_id, record in self._state.targets.items()
         )
 
@@ -141,5 +141,5 @@
 
     def _is_unconfirmed(self, target_id: str) -> bool:
         record = self._state.targets.get(target_id)
-        has_reported = record is not None and record.reported and not record.restarted
+        has_reported = record is not None and record.reported and not record.doubt.restarted
         return not has_reported and not self._is_gone(target_id)
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -146,13 +146,13 @@
     @_send.register
     async def _send_start(self, order: StartOrder) -> list[Order]:
         expires_ms = self._compute_expiry_ms()
-        wanted = self._record.fenced and self._state.is_ordered(order)
+        wanted = self._record.doubt.settled and self._state.is_ordered(order)
         if expires_ms is None or not wanted or not self._keeper.is_valid():
             return self._state.apply_start_answer(
                 order, StartReply(StartAnswer.EXPIRED), self._clock.read_monotonic_s()
             )
         sent_s = self._clock.read_monotonic_s()
-        fence = self._record.fence
+        fence = self._record.doubt.fence
         reply = await self._client.start(
             order.key,
             order.run_id,
@@ -166,10 +166,10 @@
         self._metrics.count(f'starts.{reply.answer.value}')
         if reply.answer is StartAnswer.FENCED:
             self._handle_higher_fence(fence)
-        fence = self._record.fence
+        fence = self._record.doubt.fence
         orders = self._state.apply_start_answer(order, reply, self._clock.read_monotonic_s())
         self._wake.set()
-        if self._record.fence > fence:
+        if self._record.doubt.fence > fence:
             self.poll_anew()
         return orders
 
@@ -177,7 +177,7 @@
     async def _send_stop(self, order: StopOrder) -> list[Order]:
         confirmed = False
         if self._keeper.is_valid():
-            confirmed = await self._client.stop(order.key, order.run_id, self._record.fence)
+            confirmed = await self._client.stop(order.key, order.run_id, self._record.doubt.fence)
         if not confirmed:
             await trio.sleep(STOP_RETRY_DELAY_S)
         self._wake.set()
@@ -186,12 +186,14 @@
     @_send.register
     async def _send_pace(self, order: PaceOrder) -> list[Order]:
         if self._keeper.is_valid():
-            await self._client.pace(order.key, order.run_id, order.percent, self._record.fence)
+            await self._client.pace(
+                order.key, order.run_id, order.percent, self._record.doubt.fence
+            )
         return []
 
     def _has_fence(self) -> bool:
         """Drop the term if its fences are used up, and return whether there is one for the target."""
-        if self._record.fence <= self._state.last_fence:
+        if self._record.doubt.fence <= self._state.last_fence:
             return True
         self._keeper.step_down(f'target {self._record.entry.target_id} needs a higher fence')
         return False
@@ -211,7 +213,7 @@
         expires_ms = self._compute_expiry_ms() if extends_lease else None
         wait_ms = self._choose_wait_ms()
         incarnation_start_ms = self._record.incarnation_start_ms
-        fence = self._record.fence
+        fence = self._record.doubt.fence
         self._polled_fence = fence
         # Without a valid term nothing more is acknowledged: a successor may not have read the
         # progress of these ends.
@@ -253,7 +255,7 @@
 
         A lower one is refused because this holder has raised the fence since.
         """
-        if fence < self._record.fence:
+        if fence < self._record.doubt.fence:
             return False
         self._keeper.step_down(f'target {self._record.entry.target_id} has a higher fence')
         return True
@@ -275,7 +277,7 @@
         if not record.silent:
             self._state.open_starts.note_silence(record.entry.target_id, now_s)
         record.silent = True
-        if now_s < record.lease_end_s:
+        if now_s < record.doubt.lease_end_s:
             return True
         if record.runs:
             log.info(
@@ -296,10 +298,10 @@
         if record.applied_number > record.stored_number:
             await self._journal.wait_until_stored(MAX_STORE_WAIT_S)
             return
-        if not record.fenced and self._polled_fence == record.fence:
+        if not record.doubt.settled and self._polled_fence == record.doubt.fence:
             await self._wait_for_wake(UNFENCED_RETRY_INTERVAL_S)
             return
-        if record.runs or not record.fenced:
+        if record.runs or not record.doubt.settled:
             return
         await self._wait_for_wake(IDLE_POLL_INTERVAL_S)
 
@@ -317,7 +319,7 @@
     def _choose_wait_ms(self) -> int:
         record = self._record
         needs_first_report = record.clock_offset_ms is None or not record.reported
-        if needs_first_report or not record.fenced or record.silent or not record.runs:
+        if needs_first_report or not record.doubt.settled or record.silent or not record.runs:
             return 0
         if record.has_unstored_ends:
             return 0
@@ -337,6 +339,5 @@
         if clock_offset_ms is None:
             return None
         now_s = self._clock.read_monotonic_s()
-        end_s = now_s + self._lease_s * CLOCK_DRIFT_RATIO + LEASE_MARGIN_S
-        self._record.lease_end_s = max(self._record.lease_end_s, end_s)
+        self._record.doubt.record_lease(now_s, self._lease_s)
         return int(now_s * MS_PER_S + clock_offset_ms + self._lease_s * MS_PER_S)
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from comfreywind.decisions.scheduling.target_doubt import TargetDoubt
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.start_reply import StartReply
 from comfreywind.jobs.target_entry import TargetEntry
@@ -23,27 +24,24 @@
 
     The target numbers the ends of its runs. `applied_number` is the highest end applied to the
     scheduler state, `stored_number` the highest whose effects are stored, and `acknowledged_number`
-    the highest that was acknowledged to the target. `lease_end_s` is when all runs on the target
-    have certainly lapsed. `in_registry` is set while the stored target registry names the target,
-    without which nothing may be started on it. `due` marks a VM of an open maintenance wave.
+    the highest that was acknowledged to the target. `in_registry` is set while the stored target
+    registry names the target, without which nothing may be started on it. `due` marks a VM of an open
+    maintenance wave.
     `known_runs` tells what its reports have shown since the takeover.
     `silent` is set while the target gives no answer, `leaving` once its entry is gone or replaced,
     and `emptying` while its VM is being drained for an order. `heard_s` is when it last replied.
     `lapsed_runs` are those whose lease ended while it was silent: whether it has crashed or was only
     cut off shows when it replies again.
 
-    `fence` is that of all orders to the target now. `fenced` is set once the present incarnation has
-    replied to a call with that fence: orders that were sent with a lower one no longer take effect
-    there, and its report has shown which of them did. Until then, `restarted` tells that the
-    incarnation before has ended, with runs that may not be known to be lost. `clock_offset_ms` is
-    the target's clock less the holder's, or None before the present incarnation has told its clock.
+    `doubt` tells what is certain of its runs, and has the fence of all orders to it. `clock_offset_ms`
+    is the target's clock less the holder's, or None before the present incarnation has told its clock.
     """
 
     entry: TargetEntry
     runs: dict[TaskKey, RunRecord] = field(default_factory=dict)
     suspects: set[TaskKey] = field(default_factory=set)
     used: Resources = NO_RESOURCES
-    incarnation_start_ms: int = 0
+    doubt: TargetDoubt = field(default_factory=TargetDoubt)
     applied_number: int = 0
     stored_number: int = 0
     acknowledged_number: int = 0
@@ -51,18 +49,19 @@
     in_registry: bool = False
     maintenance_due: bool = False
     silent: bool = False
-    lease_end_s: float = 0
     cooldown_until_s: float = 0
     consecutive_failures: int = 0
     leaving: bool = False
     emptying: bool = False
     heard_s: float = 0
     lapsed_runs: tuple[RunRecord, ...] = ()
-    fence: int = 1
-    fenced: bool = False
-    restarted: bool = False
     clock_offset_ms: float | None = None
 
+    @property
+    def incarnation_start_ms(self) -> int:
+        """Return when the present incarnation began, in milliseconds since 1970."""
+        return self.doubt.incarnation_start_ms
+
     @property
     def reported(self) -> bool:
         """Return whether the target has reported to this holder."""
@@ -82,7 +81,7 @@
     def may_start(self, now_s: float) -> bool:
         """Return whether a run may be started on the target at this moment."""
         accepts_starts = self._has_current_capacity() and not self.has_open_suspect()
-        return self.in_registry and self.fenced and self.is_usable(now_s) and accepts_starts
+        return self.in_registry and self.doubt.settled and self.is_usable(now_s) and accepts_starts
 
     def has_open_suspect(self) -> bool:
         """Return whether a task that may crash the target has not made progress there yet."""
@@ -106,18 +105,16 @@
 
         Some may have been ordered after the restart, or their orders may still arrive.
         """
-        self.incarnation_start_ms = incarnation_start_ms
         self.applied_number = 0
         self.stored_number = 0
         self.acknowledged_number = 0
         self.consecutive_failures = 0
-        self.restarted = True
-        self.raise_fence()
+        self.doubt.begin_incarnation(incarnation_start_ms)
+        self.clock_offset_ms = None
 
     def raise_fence(self) -> None:
         """Have the target refuse the orders that were sent before, because it may have restarted."""
-        self.fence += 1
-        self.fenced = False
+        self.doubt.raise_fence()
         self.clock_offset_ms = None
 
     def is_from_present(self, reply: StartReply, now_s: float) -> bool:
--- a/comfreywind/scheduling/vm_watch.py
+++ b/comfreywind/scheduling/vm_watch.py
@@ -10,6 +10,7 @@
 from comfreywind.jobs.vm import Vm
 from comfreywind.platform.vm_client import VmClient
 from comfreywind.scheduling.scheduler_state import SchedulerState
+from comfreywind.scheduling.target_record import TargetRecord
 
 # Interval while the list is needed; otherwise it isn't read at all, to save calls to the platform.
 LIST_INTERVAL_S = 0.8
@@ -18,6 +19,8 @@
 NEED_POLL_INTERVAL_S = 0.1
 # A VM counts as removed when so many complete lists in a row lack it.
 ABSENT_LISTS = 3
+# For how long a list is read to see a new incarnation of a target live.
+LIVE_CHECK_S = 5.0
 
 log = logging.getLogger('comfreywind.vms')
 
@@ -38,6 +41,7 @@
         self._complete = False
         self._complete_lists_count = 0
         self._last_listed: dict[str, int] = {}
+        self._vm_by_target: dict[str, str] = {}
         self._read_requested = trio.Event()
         self._read_done = trio.Event()
 
@@ -76,6 +80,12 @@
         current = self._complete and self.read_started_s > since_s
         return current and target_id not in self._list_live_targets()
 
+    def needs_live_check(self) -> bool:
+        """Return whether a list should show that a target is live, to be able to show its end later."""
+        now_s = self._clock.read_monotonic_s()
+        records = self._state.targets.values()
+        return any(record.doubt.needs_list(now_s, LIVE_CHECK_S) for record in records)
+
     def is_removed(self, name: str) -> bool:
         """Return whether the last complete lists lack the VM."""
         last_listed = self._last_listed.get(name, 0)
@@ -89,6 +99,7 @@
         asked_s = self._clock.read_monotonic_s()
         listed = await self._client.read_vms()
         self.vms = {vm.name: vm for vm in listed.vms}
+        self._vm_by_target.update({vm.target_id: vm.name for vm in listed.vms if vm.target_id})
         self._complete = listed.complete
         self._complete_lists_count += int(listed.complete)
         self._last_listed.update(dict.fromkeys(self.vms, self._complete_lists_count))
@@ -100,18 +111,38 @@
         return {vm.target_id for vm in self.vms.values() if vm.up}
 
     def _drop_runs_on_dead_targets(self) -> bool:
+        live_targets = self._list_live_targets()
+        for target_id, record in self._state.targets.items():
+            record.doubt.record_list(target_id in live_targets, self.read_started_s)
         if not self._complete:
             return False
-        live_targets = self._list_live_targets()
-        listed_targets = {vm.target_id for vm in self.vms.values()}
         dropped = False
         for target_id, record in self._state.targets.items():
             if target_id in live_targets or not record.silent:
                 continue
-            if record.runs:
-                log.info('target %s: VM is down, %d runs lost', target_id, len(record.runs))
-                dropped = True
-            self._state.end_incarnation(record)
-            if target_id not in listed_targets:
+            dropped = self._drop_runs(record) or dropped
+            if self._is_replaced(target_id):
                 self._state.open_starts.close_target(target_id)
         return dropped
+
+    def _drop_runs(self, record: TargetRecord) -> bool:
+        """Drop the runs of a target whose VM is down; return whether there were any."""
+        if not record.runs:
+            self._state.end_incarnation(record)
+            return False
+        if not record.doubt.is_ended_by_list(self.read_started_s, record.heard_s):
+            return False
+        log.info('target %s: VM is down, %d runs lost', record.entry.target_id, len(record.runs))
+        self._state.end_incarnation(record)
+        return True
+
+    def _is_replaced(self, target_id: str) -> bool:
+        """Return whether the VM of a target has another target now, or is removed.
+
+        A VM that is down names no target, and may come back with the same one.
+        """
+        name = self._vm_by_target.get(target_id)
+        if name is None:
+            return False
+        vm = self.vms.get(name)
+        return self.is_removed(name) if vm is None else vm.up and vm.target_id != target_id
--- a/tests/helpers/scheduler_harness.py
+++ b/tests/helpers/scheduler_harness.py
@@ -107,7 +107,7 @@
         reporting_ms = incarnation_start_ms or record.incarnation_start_ms
         report = TargetReport(0, reporting_ms, runs, tuple(rows))
         return self.scheduler_state.apply_report(
-            record, report, record.fence if fence is None else fence, self.now_s, self.now_s
+            record, report, record.doubt.fence if fence is None else fence, self.now_s, self.now_s
         )
 
     def register(self, target: str, incarnation_start_ms: int) -> None:
--- a/tests/scheduling/test_maintenance_faults.py
+++ b/tests/scheduling/test_maintenance_faults.py
@@ -267,14 +267,17 @@
 ) -> None:
     """A silent target keeps its runs when the list that lacks its VM has an unreadable entry."""
 
-    class Lists:
-        async def read_vms(self) -> VmList:
-            """Return a list of one other VM."""
-            return VmList((make_vm('other'),), complete)
-
     fleet = FaultyFleet()
     (order, *_) = fleet.harness.start()
     target = fleet.harness.scheduler_state.targets[order.target_id]
+    lists = iter([VmList((make_vm(order.target_id),), True)])
+
+    class Lists:
+        async def read_vms(self) -> VmList:
+            """Return a list with the VM of the target, then lists of one other VM."""
+            return next(lists, VmList((make_vm('other'),), complete))
+
+    target.doubt.settled_s = -1
     target.silent = True
     watch = VmWatch(cast('Any', Lists()), fleet.harness.scheduler_state, TrioClock())
     with trio.move_on_after(MAINTENANCE_S):
--- a/tests/scheduling/test_many_ends.py
+++ b/tests/scheduling/test_many_ends.py
@@ -54,7 +54,7 @@
     """Apply a report of the target that was requested just now."""
     record = harness.scheduler_state.targets['t0']
     return harness.scheduler_state.apply_report(
-        record, report, record.fence, harness.now_s, harness.now_s
+        record, report, record.doubt.fence, harness.now_s, harness.now_s
     )
 
 
@@ -168,7 +168,7 @@
 def list_rest(state: SchedulerState) -> None:
     """Let the target list the rest of its ends."""
     record = state.targets['t0']
-    state.apply_report(record, make_report(range(2, TASKS)), record.fence, 0, 0)
+    state.apply_report(record, make_report(range(2, TASKS)), record.doubt.fence, 0, 0)
 
 
 def fall_silent(state: SchedulerState) -> None:
@@ -204,8 +204,8 @@
     harness.add_job(make_job(Step(TASKS, Resources(1000, 100))), reconciled=False)
     record = state.targets['t0']
     record.known_runs = KnownRuns.NONE
-    state.apply_report(record, make_report(range(2), complete=False), record.fence, 0, 0)
-    record.lease_end_s = TrioClock().read_monotonic_s() + lease_end_s
+    state.apply_report(record, make_report(range(2), complete=False), record.doubt.fence, 0, 0)
+    record.doubt.lease_end_s = TrioClock().read_monotonic_s() + lease_end_s
     reconciliation = make_reconciliation(state)
     started_s = trio.current_time()
     done = trio.Event()
--- a/tests/scheduling/test_restarted_target.py
+++ b/tests/scheduling/test_restarted_target.py
@@ -43,13 +43,13 @@
     """Queues only tasks again that the target lacks once it refuses what was sent before."""
     harness, orders = order_tasks()
     record = harness.scheduler_state.targets['t0']
-    earlier_fence = record.fence
+    earlier_fence = record.doubt.fence
     if told_by == 'report':
         harness.report('t0', incarnation_start_ms=2, fence=earlier_fence)
     else:
         harness.register('t0', incarnation_start_ms=2)
         harness.report('t0', incarnation_start_ms=2, fence=earlier_fence)
-    assert record.fence > earlier_fence
+    assert record.doubt.fence > earlier_fence
     assert not list_waiting(harness)
     active = tuple((order.key, order.run_id) for order in orders[:carried_out])
     harness.report('t0', active)
@@ -91,9 +91,9 @@
     harness, orders = order_tasks()
     record = harness.scheduler_state.targets['t0']
     for number in range(restarts):
-        fence = record.fence
+        fence = record.doubt.fence
         harness.report('t0', incarnation_start_ms=2 + number, fence=fence)
-        assert record.fence == fence + 1
+        assert record.doubt.fence == fence + 1
         assert not list_waiting(harness)
     harness.report('t0')
     assert list_waiting(harness) == [order.key for order in orders]
@@ -104,7 +104,7 @@
     harness, orders = order_tasks()
     harness.register('t0', incarnation_start_ms=2)
     harness.report('t0', incarnation_start_ms=1)
-    assert not harness.scheduler_state.targets['t0'].fenced
+    assert not harness.scheduler_state.targets['t0'].doubt.settled
     assert len(harness.scheduler_state.targets['t0'].runs) == len(orders)
 
 
@@ -116,7 +116,7 @@
     harness.add_job(make_job(STEP))
     orders = harness.start()
     state, record = harness.scheduler_state, harness.scheduler_state.targets['t0']
-    fence = record.fence
+    fence = record.doubt.fence
     if event == 'lapse':
         state.lapse_runs(record)
     if event == 'end':
@@ -125,7 +125,7 @@
         state.requeue_runs(record)
     if event == 'restart':
         harness.restart('t0')
-    assert record.fence > fence
+    assert record.doubt.fence > fence
     assert not state.is_ordered(orders[1])
 
 
@@ -139,11 +139,11 @@
     harness.scheduler_state._lease_limit_s = lease_limit_s
     record = harness.scheduler_state.targets['t0']
     active = tuple((order.key, order.run_id) for order in orders)
-    harness.report('t0', active, incarnation_start_ms=2, fence=record.fence)
+    harness.report('t0', active, incarnation_start_ms=2, fence=record.doubt.fence)
     if fenced:
         harness.report('t0', active)
     delay_limit_s = 0 if fenced else ORDER_DELAY_LIMIT_S
-    wait_s = record.lease_end_s - harness.now_s
+    wait_s = record.doubt.lease_end_s - harness.now_s
     assert wait_s >= 1.02 * lease_limit_s + delay_limit_s
     assert wait_s < 1.02 * lease_limit_s + delay_limit_s + 1
 
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -180,7 +180,7 @@
     harness = SchedulerHarness(targets=1)
     client = SilentTarget(harness)
     harness.scheduler_state.targets['t0'].leaving = True
-    harness.scheduler_state.targets['t0'].lease_end_s = trio.current_time() + 6
+    harness.scheduler_state.targets['t0'].doubt.lease_end_s = trio.current_time() + 6
     with trio.fail_after(10):
         await make_link(harness, client).run()
     assert len(client.asked_s) <= 7
@@ -192,7 +192,7 @@
     harness.add_job()
     harness.start()
     client = SilentTarget(harness)
-    harness.scheduler_state.targets['t0'].lease_end_s = trio.current_time() + 6
+    harness.scheduler_state.targets['t0'].doubt.lease_end_s = trio.current_time() + 6
     with trio.move_on_after(5):
         await make_link(harness, client).run()
     gaps_s = [later - earlier for earlier, later in itertools.pairwise(client.asked_s)]
@@ -264,14 +264,14 @@
     with trio.move_on_after(3):
         await link.run()
     assert bool(term.reasons) is not raised_meanwhile
-    assert harness.scheduler_state.targets['t0'].fenced
+    assert harness.scheduler_state.targets['t0'].doubt.settled
 
 
 async def test_fences_used_up(autojump_clock: trio.testing.MockClock) -> None:
     """Drops the term before an order has a fence of the next term."""
     harness = SchedulerHarness(targets=1)
     client, term = RefusingTarget(harness, raised_meanwhile=True), CountingTerm()
-    harness.scheduler_state.last_fence = harness.scheduler_state.targets['t0'].fence
+    harness.scheduler_state.last_fence = harness.scheduler_state.targets['t0'].doubt.fence
     link = make_link(harness, client)
     link._keeper = cast('TermKeeper', term)
     with trio.move_on_after(3):
@@ -304,7 +304,7 @@
             (order,) = harness.plan()
             await link.send(order)
         await trio.sleep(0.1)
-        assert harness.scheduler_state.targets['t0'].fenced
+        assert harness.scheduler_state.targets['t0'].doubt.settled
         nursery.cancel_scope.cancel()
 
 
@@ -360,5 +360,5 @@
         await trio.sleep(0.5)
         # The poll of before, and those with the raised fence.
         assert len(client.acknowledged) <= 5
-        assert harness.scheduler_state.targets['t0'].fenced
+        assert harness.scheduler_state.targets['t0'].doubt.settled
         nursery.cancel_scope.cancel()
