--- a/comfreywind/decisions/scheduling/target_doubt.py
+++ b/comfreywind/decisions/scheduling/target_doubt.py
@@ -27,9 +27,8 @@
     at `incarnation_start_ms` has replied to a call with that fence. `restarted` is set while the end
     of the incarnation before is known, and not yet which of its runs were lost. `lease_end_s` is when
     the runs of a settled incarnation have certainly lapsed, and `ordered_s` when the last order for a
-    lease was sent. `restarted_s` is when
-    the target was settled last after a restart. `seen_live` is set
-    once a list of VMs has certainly shown the present incarnation as live.
+    lease was sent. `seen_live` is set once a list of VMs has certainly shown the incarnation that
+    was settled at `settled_s` as live.
     """
 
     fence: int = 1
@@ -39,7 +38,6 @@
     lease_end_s: float = 0
     ordered_s: float = 0
     settled_s: float = 0
-    restarted_s: float = float('-inf')
     seen_live: bool = False
 
     def begin_incarnation(self, incarnation_start_ms: int) -> None:
@@ -56,8 +54,6 @@
 
     def settle(self, now_s: float) -> None:
         """Record that the present incarnation has replied to a call with the present fence."""
-        if self.restarted:
-            self.restarted_s = now_s
         self.settled = True
         self.restarted = False
         self.settled_s = now_s
@@ -87,8 +83,7 @@
 
     def record_list(self, live: bool, requested_s: float) -> None:
         """Record what a list of VMs tells of the target."""
-        certain_s = max(self.settled_s, self.restarted_s + LIST_AGE_LIMIT_S)
-        if live and self.settled and requested_s >= certain_s:
+        if live and self.settled and requested_s >= self.settled_s + LIST_AGE_LIMIT_S:
             self.seen_live = True
 
     def is_ended_by_list(self, requested_s: float, heard_s: float) -> bool:
@@ -102,5 +97,5 @@
 
     def needs_list(self, now_s: float, within_s: float) -> bool:
         """Return whether a list of VMs should show now that the target is live."""
-        since_s = max(self.settled_s, self.restarted_s + LIST_AGE_LIMIT_S)
+        since_s = self.settled_s + LIST_AGE_LIMIT_S
         return self.settled and not self.seen_live and since_s <= now_s < since_s + within_s
--- a/comfreywind/scheduling/vm_watch.py
+++ b/comfreywind/scheduling/vm_watch.py
@@ -120,17 +120,19 @@
         for target_id, record in self._state.targets.items():
             if target_id in live_targets or not record.silent:
                 continue
-            dropped = self._drop_runs(record) or dropped
-            if self._is_replaced(target_id):
+            is_replaced = self._is_replaced(target_id)
+            dropped = self._drop_runs(record, is_replaced) or dropped
+            if is_replaced:
                 self._state.open_starts.close_target(target_id)
         return dropped
 
-    def _drop_runs(self, record: TargetRecord) -> bool:
+    def _drop_runs(self, record: TargetRecord, is_replaced: bool) -> bool:
         """Drop the runs of a target whose VM is down; return whether there were any."""
         if not record.runs:
             self._state.end_incarnation(record)
             return False
-        if not record.doubt.is_ended_by_list(self.read_started_s, record.heard_s):
+        is_ended = record.doubt.is_ended_by_list(self.read_started_s, record.heard_s)
+        if not (is_ended or is_replaced):
             return False
         log.info('target %s: VM is down, %d runs lost', record.entry.target_id, len(record.runs))
         self._state.end_incarnation(record)
--- a/tests/scheduling/test_maintenance_faults.py
+++ b/tests/scheduling/test_maintenance_faults.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from comfreywind.decisions.scheduling.target_doubt import LIST_AGE_LIMIT_S
 from comfreywind.errors import RowsChangedError
 from comfreywind.jobs.maintenance_wave import MaintenanceWave
 from comfreywind.jobs.vm import Vm
@@ -277,7 +278,7 @@
             """Return a list with the VM of the target, then lists of one other VM."""
             return next(lists, VmList((make_vm('other'),), complete))
 
-    target.doubt.settled_s = -1
+    target.doubt.settled_s = -LIST_AGE_LIMIT_S
     target.silent = True
     watch = VmWatch(cast('Any', Lists()), fleet.harness.scheduler_state, TrioClock())
     with trio.move_on_after(MAINTENANCE_S):
--- a/tests/scheduling/test_target_doubt.py
+++ b/tests/scheduling/test_target_doubt.py
@@ -57,7 +57,8 @@
         self.harness.add_job(make_job(STEP))
         self.state.targets['t1'].cooldown_until_s = self.harness.now_s + 0.01
         (self.order,) = self.start()
-        self.harness.now_s += 1
+        # Lists of VMs may show an earlier incarnation for that long.
+        self.harness.now_s += LIST_AGE_LIMIT_S
         self.lists, self.clock = Lists(), ManualClock()
         self.clock.advance(self.harness.now_s - self.clock.read_monotonic_s())
         self.watch = VmWatch(cast('VmClient', self.lists), self.state, self.clock)
