Wait at a takeover for the longest lease of a target that can't be reached

A holder that took over waited 5.6 s for such a target, the lease on a known clock.

Change: the wait is the longest lease that the deployment grants, 6.6 s at 6 s. It is paid only when a target can't be reached at a takeover and no list of VMs shows it as gone.

Result: tests/scheduling passes.

--- a/comfreywind/scheduling/maintenance_keeper.py
+++ b/comfreywind/scheduling/maintenance_keeper.py
@@ -6,6 +6,7 @@
 import trio
 
 from comfreywind.clock import Clock
+from comfreywind.decisions.scheduling.handover import compute_earlier_lapse_s
 from comfreywind.decisions.scheduling.maintenance import (
     WaveVm,
     choose_emptying,
@@ -27,7 +28,6 @@
 from comfreywind.scheduling.orders import Order
 from comfreywind.scheduling.rules_follower import RulesFollower
 from comfreywind.scheduling.scheduler_state import SchedulerState
-from comfreywind.scheduling.target_link import EARLIER_RUNS_LAPSE_S
 from comfreywind.scheduling.target_record import TargetRecord
 from comfreywind.scheduling.term_keeper import HeldTerm, TermKeeper
 from comfreywind.scheduling.vm_availability import (
@@ -288,7 +288,7 @@
         """Return whether the target may have runs of an earlier holder not known to this one."""
         if record is None or record.reported:
             return False
-        return now_s - self._term.taken_s < EARLIER_RUNS_LAPSE_S
+        return now_s - self._term.taken_s < compute_earlier_lapse_s(self._state.lease_limit_s)
 
     async def _order(self, wave: MaintenanceWave, vm: Vm, orders: WaveOrders) -> None:
         if not (self._keeper.is_valid() and self._reservations.may_send(vm.name)):
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -80,7 +80,7 @@
         `first_fence` is the lowest fence of the term, `lease_limit_s` the longest lease that targets
         grant.
         """
-        self._lease_limit_s = lease_limit_s
+        self.lease_limit_s = lease_limit_s
         self.first_fence = first_fence
         self.last_fence = first_fence + FENCES_PER_TERM - 1
         self.rules: JobRules = JobRules(0)
@@ -466,7 +466,7 @@
     ) -> list[Order]:
         """Settle a target in doubt, if its report was requested with the present fence."""
         if record.runs:
-            record.doubt.record_runs(fence, now_s, self._lease_limit_s)
+            record.doubt.record_runs(fence, now_s, self.lease_limit_s)
         if fence != record.doubt.fence:
             return []
         return self._confirm_incarnation(record, report, now_s)
--- a/comfreywind/scheduling/settlement.py
+++ b/comfreywind/scheduling/settlement.py
@@ -6,7 +6,7 @@
 import trio
 
 from comfreywind.clock import Clock
-from comfreywind.decisions.scheduling.handover import may_reconcile
+from comfreywind.decisions.scheduling.handover import compute_earlier_lapse_s, may_reconcile
 from comfreywind.errors import StoreUnavailableError
 from comfreywind.jobs.resources import NO_RESOURCES, Resources, sum_resources
 from comfreywind.jobs.tables import PROGRESS_PARTITIONS, TABLE_PROGRESS
@@ -14,7 +14,6 @@
 from comfreywind.scheduling.known_runs import KnownRuns
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.scheduler_state import SchedulerState
-from comfreywind.scheduling.target_link import EARLIER_RUNS_LAPSE_S
 from comfreywind.scheduling.target_registry import TargetRegistry
 from comfreywind.scheduling.term_keeper import HeldTerm
 
@@ -45,6 +44,7 @@
         self._registry = registry
         self._clock = clock
         self._is_gone = is_gone
+        self._lapse_s = compute_earlier_lapse_s(scheduler_state.lease_limit_s)
         self.done = False
 
     async def run(self, notify_done: Callable[[], None]) -> None:
@@ -63,7 +63,7 @@
         It is the capacity of the targets that may have such runs, or None if one of these has no
         registration, or runs best-effort tasks, which may exceed its capacity.
         """
-        if self.done or self._get_waited_s() >= EARLIER_RUNS_LAPSE_S:
+        if self.done or self._get_waited_s() >= self._lapse_s:
             return NO_RESOURCES
         unconfirmed = self._list_unconfirmed()
         if not self._registry.earlier_targets_known:
@@ -86,7 +86,7 @@
         waited_s = self._get_waited_s()
         unconfirmed = self._list_unconfirmed()
         if self._has_unread_ends() or not may_reconcile(
-            len(unconfirmed), self._registry.earlier_targets_known, waited_s, EARLIER_RUNS_LAPSE_S
+            len(unconfirmed), self._registry.earlier_targets_known, waited_s, self._lapse_s
         ):
             return
         try:
@@ -121,7 +121,7 @@
         It no longer counts once it is silent and its lease, also one of an earlier holder, is over.
         """
         now_s = self._clock.read_monotonic_s()
-        earlier_end_s = self._term.taken_s + EARLIER_RUNS_LAPSE_S
+        earlier_end_s = self._term.taken_s + self._lapse_s
         return any(
             record.known_runs is KnownRuns.ACTIVE
             and not self._is_gone(target_id)
--- a/comfreywind/scheduling/target_link.py
+++ b/comfreywind/scheduling/target_link.py
@@ -24,11 +24,6 @@
 # Long enough that runs survive a change of the holder, short enough that the work of a lost target
 # soon starts elsewhere.
 RUN_LEASE_S = 5.0
-# The clock of a target may be 2 % slow; the margin covers the transfer of an order.
-CLOCK_DRIFT_RATIO = 1.02
-LEASE_MARGIN_S = 0.4
-# This long after the takeover, every run of an earlier holder has lapsed.
-EARLIER_RUNS_LAPSE_S = RUN_LEASE_S * CLOCK_DRIFT_RATIO + LEASE_MARGIN_S + 0.1
 # The longest time for which a target may keep a hold request open until it reports.
 MAX_HOLD_WAIT_S = 1.0
 # The same for a target with a run without a confirmed start, or with one that may crash it: only a
--- a/tests/scheduling/test_ceiling_at_takeover.py
+++ b/tests/scheduling/test_ceiling_at_takeover.py
@@ -8,16 +8,18 @@
 import trio
 
 from bench.job_fleet import TARGET_CPU, JobFleet, make_config, run_job_fleet
+from comfreywind.decisions.scheduling.handover import compute_earlier_lapse_s
+from comfreywind.decisions.scheduling.open_start import DEFAULT_LEASE_LIMIT_S
 from comfreywind.jobs.resources import NO_RESOURCES, Resources
 from comfreywind.jobs.step import Step
 from comfreywind.jobs.team import Team
 from comfreywind.scheduling.known_runs import KnownRuns
 from comfreywind.scheduling.settlement import Reconciliation
-from comfreywind.scheduling.target_link import EARLIER_RUNS_LAPSE_S
 from comfreywind.scheduling.term_keeper import HeldTerm
 from tests.helpers.scheduler_harness import TEAM, SchedulerHarness, make_job
 from tests.helpers.trio_clock import TrioClock
 
+EARLIER_RUNS_LAPSE_S = compute_earlier_lapse_s(DEFAULT_LEASE_LIMIT_S)
 SILENCE_S = 3.0
 TASK_CPU = 500
 
--- a/tests/scheduling/test_many_ends.py
+++ b/tests/scheduling/test_many_ends.py
@@ -7,20 +7,22 @@
 import pytest
 import trio
 
+from comfreywind.decisions.scheduling.handover import compute_earlier_lapse_s
+from comfreywind.decisions.scheduling.open_start import DEFAULT_LEASE_LIMIT_S
+from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.step import Step
-from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.known_runs import KnownRuns
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.scheduler_state import SchedulerState
 from comfreywind.scheduling.settlement import Reconciliation
-from comfreywind.scheduling.target_link import EARLIER_RUNS_LAPSE_S
 from comfreywind.scheduling.target_registry import TargetRegistry
 from comfreywind.scheduling.term_keeper import HeldTerm
 from tests.helpers.scheduler_harness import JOB_ID, SchedulerHarness, make_job
 from tests.helpers.trio_clock import TrioClock
 
+EARLIER_RUNS_LAPSE_S = compute_earlier_lapse_s(DEFAULT_LEASE_LIMIT_S)
 TASKS = 5
 LEASE_END_S = 9.0
 
--- a/tests/scheduling/test_restarted_target.py
+++ b/tests/scheduling/test_restarted_target.py
@@ -136,7 +136,7 @@
 def test_lease_on_earlier_clock(lease_limit_s: float, fenced: bool) -> None:
     """Waits for the longest lease, and for late orders unless these are refused already."""
     harness, orders = order_tasks()
-    harness.scheduler_state._lease_limit_s = lease_limit_s
+    harness.scheduler_state.lease_limit_s = lease_limit_s
     record = harness.scheduler_state.targets['t0']
     active = tuple((order.key, order.run_id) for order in orders)
     harness.report('t0', active, incarnation_start_ms=2, fence=record.doubt.fence)
