--- a/comfreywind/scheduling/evacuation.py
+++ b/comfreywind/scheduling/evacuation.py
@@ -156,7 +156,9 @@
             for target in self._state.targets.values()
             if target.entry.data_centre == data_centre
         ]
-        reported = all(target.silent or (target.reported and target.fenced) for target in targets)
+        reported = all(
+            target.silent or (target.reported and target.doubt.settled) for target in targets
+        )
         return decide_evacuation_state(
             EvacuationFacts(
                 exists=self._exists(data_centre),
--- a/comfreywind/scheduling/evacuation_mover.py
+++ b/comfreywind/scheduling/evacuation_mover.py
@@ -120,7 +120,7 @@
             return StayReason.STOPPING
         if target.silent:
             return StayReason.UNREACHABLE
-        if run.state is not RunState.RUNNING or not target.fenced:
+        if run.state is not RunState.RUNNING or not target.doubt.settled:
             return StayReason.UNCONFIRMED
         if not should_move(record.job.steps[run.key.step], run.progress_percent):
             return StayReason.FINISHES
--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -32,9 +32,10 @@
     holder is about to end. `at_work` is set while a task has reported 100 % and is not ending.
     `level` is the tail latency that the task reports, in milliseconds. `last_progress_s` is when
     `progress_percent`, how much of the task is done, last increased, or 0 before the first report.
-    `evidence` is what shows that the run has started, and `shown_s` when a reply or a report first
-    showed it, or None before. `suspect` marks the run of a task that may crash its target: nothing
-    else is started there until reports have shown progress of the run, or that it goes on.
+    `evidence` is what shows that the run has started, `shown_s` when a reply or a report first showed
+    it, or None before, and `confirmed_ms` the start of the incarnation that has shown it, or 0.
+    `suspect` marks the run of a task that may crash its target: nothing else is started there until
+    reports have shown progress of the run, or that it goes on.
     """
 
     key: TaskKey
@@ -59,6 +60,7 @@
     long_running: bool = False
     evidence: StartEvidence = StartEvidence.NONE
     shown_s: float | None = None
+    confirmed_ms: int = 0
     suspect: bool = False
 
     @property
@@ -69,7 +71,8 @@
     @property
     def may_be_unanswered(self) -> bool:
         """Return whether the start order may have been sent, and nothing shows what became of it."""
-        return self.state is RunState.STARTING and self.evidence is StartEvidence.NONE
+        unanswered = self.state in {RunState.STARTING, RunState.STOPPING}
+        return unanswered and self.evidence is StartEvidence.NONE
 
     @property
     def begun_s(self) -> float:
--- a/comfreywind/scheduling/start_revocation.py
+++ b/comfreywind/scheduling/start_revocation.py
@@ -22,7 +22,7 @@
         record
         for target_id, record in scheduler_state.targets.items()
         if record.entry.data_centre in data_centres
-        and record.fenced
+        and record.doubt.settled
         and (target_id in open_targets or _has_unanswered_start(record))
     ]
     for record in revoked:
--- a/tests/scheduling/test_maintenance_faults.py
+++ b/tests/scheduling/test_maintenance_faults.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from comfreywind.decisions.scheduling.target_doubt import LIST_AGE_LIMIT_S
 from comfreywind.errors import RowsChangedError
 from comfreywind.jobs.maintenance_wave import MaintenanceWave
 from comfreywind.jobs.vm import Vm
@@ -267,14 +268,17 @@
 ) -> None:
     """A silent target keeps its runs when the list that lacks its VM has an unreadable entry."""
 
-    class Lists:
-        async def read_vms(self) -> VmList:
-            """Return a list of one other VM."""
-            return VmList((make_vm('other'),), complete)
-
     fleet = FaultyFleet()
     (order, *_) = fleet.harness.start()
     target = fleet.harness.scheduler_state.targets[order.target_id]
+    lists = iter([VmList((make_vm(order.target_id),), True)])
+
+    class Lists:
+        async def read_vms(self) -> VmList:
+            """Return a list with the VM of the target, then lists of one other VM."""
+            return next(lists, VmList((make_vm('other'),), complete))
+
+    target.doubt.settled_s = -LIST_AGE_LIMIT_S
     target.silent = True
     watch = VmWatch(cast('Any', Lists()), fleet.harness.scheduler_state, TrioClock())
     with trio.move_on_after(MAINTENANCE_S):
--- a/tests/scheduling/test_many_ends.py
+++ b/tests/scheduling/test_many_ends.py
@@ -7,20 +7,22 @@
 import pytest
 import trio
 
+from comfreywind.decisions.scheduling.handover import compute_earlier_lapse_s
+from comfreywind.decisions.scheduling.open_start import DEFAULT_LEASE_LIMIT_S
+from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.run_report import ActiveRun, EndedRun, RunOutcome, TargetReport
 from comfreywind.jobs.step import Step
-from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.known_runs import KnownRuns
 from comfreywind.scheduling.progress_journal import ProgressJournal
 from comfreywind.scheduling.scheduler_state import SchedulerState
 from comfreywind.scheduling.settlement import Reconciliation
-from comfreywind.scheduling.target_link import EARLIER_RUNS_LAPSE_S
 from comfreywind.scheduling.target_registry import TargetRegistry
 from comfreywind.scheduling.term_keeper import HeldTerm
 from tests.helpers.scheduler_harness import JOB_ID, SchedulerHarness, make_job
 from tests.helpers.trio_clock import TrioClock
 
+EARLIER_RUNS_LAPSE_S = compute_earlier_lapse_s(DEFAULT_LEASE_LIMIT_S)
 TASKS = 5
 LEASE_END_S = 9.0
 
@@ -54,7 +56,7 @@
     """Apply a report of the target that was requested just now."""
     record = harness.scheduler_state.targets['t0']
     return harness.scheduler_state.apply_report(
-        record, report, record.fence, harness.now_s, harness.now_s
+        record, report, record.doubt.fence, harness.now_s, harness.now_s
     )
 
 
@@ -168,7 +170,7 @@
 def list_rest(state: SchedulerState) -> None:
     """Let the target list the rest of its ends."""
     record = state.targets['t0']
-    state.apply_report(record, make_report(range(2, TASKS)), record.fence, 0, 0)
+    state.apply_report(record, make_report(range(2, TASKS)), record.doubt.fence, 0, 0)
 
 
 def fall_silent(state: SchedulerState) -> None:
@@ -204,8 +206,8 @@
     harness.add_job(make_job(Step(TASKS, Resources(1000, 100))), reconciled=False)
     record = state.targets['t0']
     record.known_runs = KnownRuns.NONE
-    state.apply_report(record, make_report(range(2), complete=False), record.fence, 0, 0)
-    record.lease_end_s = TrioClock().read_monotonic_s() + lease_end_s
+    state.apply_report(record, make_report(range(2), complete=False), record.doubt.fence, 0, 0)
+    record.doubt.lease_end_s = TrioClock().read_monotonic_s() + lease_end_s
     reconciliation = make_reconciliation(state)
     started_s = trio.current_time()
     done = trio.Event()
