--- a/tests/scheduling/test_evacuation_starts.py
+++ b/tests/scheduling/test_evacuation_starts.py
@@ -113,11 +113,11 @@
     if answer is not None:
         harness.answer(order, answer)
     record = harness.scheduler_state.targets['t0']
-    fence = record.fence
+    fence = record.doubt.fence
     assert not revoke_unanswered_starts(harness.scheduler_state, {EVACUATED})
     revoked = revoke_unanswered_starts(harness.scheduler_state, {'dc'})
     assert bool(revoked) is (answer is not StartAnswer.STARTED)
-    assert record.fence == fence + len(revoked)
+    assert record.doubt.fence == fence + len(revoked)
     harness.evacuated = {'dc'}
     harness.report('t0')
     assert not harness.plan()
