Plan timed jobs by what has changed, not by all their occurrences

Cause: each plan examined all steps of all occurrences of timed jobs, and tried to start each waiting occurrence on its own although nothing more fitted.

Ruled out: ceiling and order of work; nothing of any team started, and the team could use half of the targets.

Change: an occurrence is examined when it becomes due and when a step of it has ended (UnlockQueue), at most 200 steps of a job in one plan. Once a step can't start in a plan, for its size or its team's ceiling, its other occurrences are not tried. What starts is the same.

--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -11,6 +11,7 @@
 from comfreywind.jobs.task_key import TaskKey
 from comfreywind.scheduling.advice import StepAdvice
 from comfreywind.scheduling.run_record import RunRecord
+from comfreywind.scheduling.unlock_queue import UnlockQueue
 
 
 @dataclass(slots=True)
@@ -19,8 +20,7 @@
 
     `waiting` holds the tasks that are ready to start, in order. `unlocked` are the steps, as pairs
     of occurrence and step number, whose tasks became ready, and `open_tasks_by_step` counts the
-    tasks of each step that are not done. `unlock_pending` is set while further steps may be
-    unlockable. `suspects` are tasks that may crash their target. `reconciled` is false while a run
+    tasks of each step that are not done. `unlock_queue` tells which steps may be unlockable. `suspects` are tasks that may crash their target. `reconciled` is false while a run
     of an earlier holder may exist that this holder does not know. `advice` holds the answers of the
     advice service, by occurrence and step number.
     """
@@ -39,12 +39,13 @@
     unlocked: set[tuple[int, int]] = field(default_factory=set)
     open_tasks_by_step: dict[tuple[int, int], int] = field(default_factory=dict)
     advice: dict[tuple[int, int], StepAdvice] = field(default_factory=dict)
-    unlock_pending: bool = True
+    unlock_queue: UnlockQueue = field(init=False)
     objective_ms: float = 0
     remaining_ms: float = 0
 
     def __post_init__(self) -> None:
         """Derive the counts and durations of the remaining work from the progress."""
+        self.unlock_queue = UnlockQueue(self.job)
         for occurrence in range(self.job.count_occurrences()):
             for number, step in enumerate(self.job.steps):
                 self.open_tasks_by_step[occurrence, number] = step.task_count
@@ -70,7 +71,7 @@
         self.progress.crashes.pop(task, None)
         self.open_tasks_by_step[key.occurrence, key.step] -= 1
         if not self.open_tasks_by_step[key.occurrence, key.step]:
-            self.unlock_pending = True
+            self.unlock_queue.add(key.occurrence)
             self.update_remaining()
         return True
 
@@ -79,7 +80,7 @@
         for occurrence, step, number in stored.done - self.progress.done:
             self.progress.done.add((occurrence, step, number))
             self.open_tasks_by_step[occurrence, step] -= 1
-            self.unlock_pending = True
+            self.unlock_queue.add(occurrence)
             key = TaskKey(self.job.job_id, occurrence, step, number)
             self.waiting.pop(key, None)
         for task, run_ids in stored.failures.items():
@@ -110,21 +111,16 @@
         return not any(self.open_tasks_by_step.values())
 
     def list_unlockable(self, now_ms: float) -> list[tuple[int, int]]:
-        """Return the steps that are due, have no open predecessors and are not unlocked yet."""
-        unlocked: list[tuple[int, int]] = []
-        if not self.unlock_pending:
-            return unlocked
-        # Occurrences become due as time passes, without an event that would set the flag.
-        self.unlock_pending = bool(self.job.occurrence_count)
-        for step_key in self.open_tasks_by_step:
-            if step_key in self.unlocked or not self.open_tasks_by_step[step_key]:
-                continue
-            occurrence, number = step_key
-            due = self.job.compute_due_ms(occurrence) <= now_ms
-            earlier = self.job.steps[number].after
-            if due and not any(self.open_tasks_by_step[occurrence, step] for step in earlier):
-                unlocked.append(step_key)
-        return unlocked
+        """Return steps that are due, have no open predecessors and are not unlocked yet.
+
+        Some may be left for a later call.
+        """
+        return [
+            (occurrence, number)
+            for occurrence in self.unlock_queue.take(now_ms)
+            for number in range(len(self.job.steps))
+            if self._is_unlockable(occurrence, number)
+        ]
 
     def list_tasks_sharing_end(self, key: TaskKey) -> list[TaskKey]:
         """Return the tasks that end with this one: all members of a gang, or the task alone."""
@@ -185,3 +181,9 @@
     def _get_checkpoint_key(self, key: TaskKey) -> tuple[int, int, int]:
         number = 0 if self.job.steps[key.step].gang else key.number
         return (key.occurrence, key.step, number)
+
+    def _is_unlockable(self, occurrence: int, number: int) -> bool:
+        if (occurrence, number) in self.unlocked or not self.open_tasks_by_step[occurrence, number]:
+            return False
+        earlier = self.job.steps[number].after
+        return not any(self.open_tasks_by_step[occurrence, step] for step in earlier)
--- a/comfreywind/scheduling/planner.py
+++ b/comfreywind/scheduling/planner.py
@@ -129,14 +129,37 @@
         by_step: dict[tuple[int, int], list[TaskKey]] = {}
         for key in record.waiting:
             by_step.setdefault((key.occurrence, key.step), []).append(key)
+        # Steps that can't start at the moment, so that the plan doesn't try each of their occurrences.
+        blocked: set[int] = set()
         for step_key, keys in by_step.items():
+            if step_key[1] in blocked:
+                continue
             allowed = self.advice.list_tickets(record, step_key, targets, self._now_s)
-            if record.job.steps[step_key[1]].gang:
-                orders.extend(self._start_gang(record, keys, allowed))
-            else:
-                orders.extend(self._start_tasks(record, keys, allowed))
+            orders.extend(self._start_step(record, keys, allowed))
             if any(key in record.waiting for key in keys):
                 self.advice.ask(record, step_key, targets, self._now_s)
+                if self._is_blocked(record, step_key[1]):
+                    blocked.add(step_key[1])
+
+    def _start_step(
+        self, record: JobRecord, keys: list[TaskKey], allowed: Collection[str] | None
+    ) -> list[Order]:
+        if record.job.steps[keys[0].step].gang:
+            return self._start_gang(record, keys, allowed)
+        return self._start_tasks(record, keys, allowed)
+
+    def _is_blocked(self, record: JobRecord, number: int) -> bool:
+        """Return whether this plan can't start any more tasks of a step, of any occurrence.
+
+        For a step with advice each occurrence has questions of its own to ask.
+        """
+        if record.job.queue.advice_validity_ms:
+            return False
+        return not self._may_start_step(record, record.job.steps[number])
+
+    def _may_start_step(self, record: JobRecord, step: Step) -> bool:
+        within_ceiling = self._state.may_use(record.job.team, step.request)
+        return within_ceiling and not self._is_unplaceable(step)
 
     def _start_tasks(
         self, record: JobRecord, keys: list[TaskKey], allowed: Collection[str] | None
@@ -227,7 +250,7 @@
         allowed: Collection[str] | None,
     ) -> StartOrder | None:
         step = record.job.steps[key.step]
-        if self._is_unplaceable(step) or not self._state.may_use(record.job.team, step.request):
+        if not self._may_start_step(record, step):
             return None
         allowed = self._narrow_to_open_start(key, allowed)
         avoided = record.failed_on.get(key, NO_TARGETS)
