Need more evidence against a task while targets crash for another reason

Change: a crash of a target on which no run had just started has another cause. For 30 s after one, the tasks of its pool are given up after four crashes (UNCERTAIN_CRASH_LIMIT) instead of two. Four starts stay below the five that the users allow.

Giving up the task alone needs a state of a job that callers don't know.

Measured: the new test of test_crashing_tasks.py, four crashes with another cause near and two without.

--- a/comfreywind/decisions/scheduling/crash_blame.py
+++ b/comfreywind/decisions/scheduling/crash_blame.py
@@ -56,15 +56,23 @@
     given_up: bool
 
 
-def judge_crash(runs: Sequence[LostRun]) -> list[CrashVerdict]:
+def is_explained(runs: Sequence[LostRun]) -> bool:
+    """Return whether a run that was lost may have caused the crash, as it had just started."""
+    return any(
+        run.evidence is not StartEvidence.PROGRESS or run.age_s < BLAME_WINDOW_S for run in runs
+    )
+
+
+def judge_crash(runs: Sequence[LostRun], has_other_cause: bool = False) -> list[CrashVerdict]:
     """Return a verdict on each task whose run was lost.
 
     Runs without progress are suspects, and blamed if they had certainly started. Without a suspect,
-    all runs that started lately are blamed.
+    all runs that started lately are blamed. While targets also crash for another reason, a run that is
+    the only suspect may be there by chance, so that its task is given up later.
     """
     suspects = [run for run in runs if run.evidence is not StartEvidence.PROGRESS]
     if suspects:
-        is_only_suspect = len(suspects) == 1
+        is_only_suspect = len(suspects) == 1 and not has_other_cause
         blamed = {run.key for run in suspects if run.evidence is StartEvidence.ACKNOWLEDGED}
     else:
         is_only_suspect = False
--- a/comfreywind/scheduling/crash_accounting.py
+++ b/comfreywind/scheduling/crash_accounting.py
@@ -3,7 +3,13 @@
 import logging
 from collections.abc import Iterable, Iterator, Mapping
 
-from comfreywind.decisions.scheduling.crash_blame import CrashVerdict, LostRun, judge_crash
+from comfreywind.decisions.scheduling.crash_blame import (
+    CrashVerdict,
+    LostRun,
+    is_explained,
+    judge_crash,
+)
+from comfreywind.decisions.scheduling.crash_history import CrashHistory
 from comfreywind.decisions.scheduling.suspects import is_cleared
 from comfreywind.scheduling.job_record import JobRecord
 from comfreywind.scheduling.run_record import RunRecord
@@ -13,7 +19,10 @@
 
 
 def count_crash(
-    jobs: Mapping[str, JobRecord], target: TargetRecord, lost: Iterable[RunRecord]
+    jobs: Mapping[str, JobRecord],
+    history: CrashHistory,
+    target: TargetRecord,
+    lost: Iterable[RunRecord],
 ) -> Iterator[tuple[JobRecord, bool]]:
     """Record the verdicts on the tasks of the runs that were lost.
 
@@ -29,7 +38,10 @@
         for run in lost
         if _is_still_needed(jobs, run)
     ]
-    for verdict in judge_crash(runs):
+    pool = target.entry.pool
+    if not is_explained(runs):
+        history.note_unexplained(pool, target.heard_s)
+    for verdict in judge_crash(runs, history.has_other_cause(pool, target.heard_s)):
         record = jobs[verdict.key.job_id]
         if record.open and _record_verdict(record, target, verdict):
             yield record, verdict.given_up
--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from comfreywind.decisions.scheduling.crash_blame import StartEvidence
+from comfreywind.decisions.scheduling.crash_history import CrashHistory
 from comfreywind.decisions.scheduling.fences import FENCES_PER_TERM
 from comfreywind.decisions.scheduling.open_start import (
     DEFAULT_LEASE_LIMIT_S,
@@ -95,6 +96,7 @@
         self.added_jobs_count = 0
         self.open_starts = OpenStarts(lease_limit_s)
         self._closing: dict[str, JobRecord] = {}
+        self._crashes = CrashHistory()
 
     # Rows of the store
 
@@ -604,7 +606,7 @@
         self.mark_changed(record)
 
     def _apply_crash(self, target: TargetRecord, lost: Iterable[RunRecord]) -> None:
-        for record, given_up in count_crash(self.jobs, target, lost):
+        for record, given_up in count_crash(self.jobs, self._crashes, target, lost):
             self.mark_changed(record)
             if given_up and record.open:
                 record.progress.state = JobState.FAILED
--- a/tests/decisions/test_crash_blame.py
+++ b/tests/decisions/test_crash_blame.py
@@ -9,6 +9,7 @@
     CrashVerdict,
     LostRun,
     StartEvidence,
+    is_explained,
     judge_crash,
 )
 from comfreywind.jobs.task_key import TaskKey
@@ -86,6 +87,14 @@
     assert judge_crash(runs) == verdicts
 
 
+def test_other_cause() -> None:
+    """Does not give up a task after two crashes while targets crash without a suspect as well."""
+    runs = [lost(0, count=1)]
+    assert judge_crash(runs, has_other_cause=True) == [verdict(0, 2, suspect=True)]
+    assert is_explained(runs)
+    assert not is_explained([lost(0, PROGRESS, BLAME_WINDOW_S)])
+
+
 def test_limits_keep_the_rule() -> None:
     """A task that is given up was started less often than the users' rule allows."""
     assert CRASH_LIMIT <= UNCERTAIN_CRASH_LIMIT < CRASHES_ALLOWED
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from comfreywind.decisions.scheduling.crash_blame import BLAME_WINDOW_S
+from comfreywind.decisions.scheduling.crash_history import MEMORY_S
 from comfreywind.decisions.scheduling.open_start import ORDER_DELAY_LIMIT_S
 from comfreywind.jobs.job_codec import decode_progress, encode_progress
 from comfreywind.jobs.job_state import JobState
@@ -173,6 +174,31 @@
     assert [each.target_id for each in rig.start()] == [order.target_id]
 
 
+# Guards against a long-running job that is given up, with its sound tasks, because its targets crash
+# one after another for another reason (review, other/crashes-in-turn).
+@pytest.mark.parametrize(('pause_s', 'open_after'), [(MEMORY_S / 10, 3), (2 * MEMORY_S, 1)])
+def test_crashes_with_another_cause(pause_s: float, open_after: int) -> None:
+    """Gives up a task later while targets without a suspect crash as well, and not much later."""
+    rig = SchedulerHarness(2)
+    other = rig.add_job(make_job(Step(1, Resources(4000, 100)), job_id=INNOCENT_JOBS[0]))
+    (settled,) = rig.start()
+    rig.now_s += 2 * BLAME_WINDOW_S
+    rig.report(settled.target_id, ((settled.key, settled.run_id),))
+    rig.restart(settled.target_id)
+    rig.scheduler_state.cancel_job(other.job_id)
+    rig.now_s += pause_s
+    rig.add_job(make_job(job_id=DEADLY_JOB))
+    record = rig.scheduler_state.jobs[DEADLY_JOB]
+    crashes = 0
+    while record.open:
+        for target_id in rig.scheduler_state.targets:
+            rig.report(target_id)
+        (order,) = rig.start()
+        rig.restart(order.target_id)
+        crashes += 1
+    assert crashes == open_after + 1 < STARTS_ALLOWED
+
+
 # Guards against a job that is failed although no run of it has begun (review, case 7): a connection
 # that broke while a start was sent was counted as a crash by the task.
 @pytest.mark.parametrize('acknowledged', [0, 1])
