--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from comfreywind.decisions.scheduling.crash_blame import StartEvidence
+from comfreywind.decisions.scheduling.crash_history import CrashHistory
 from comfreywind.decisions.scheduling.fences import FENCES_PER_TERM
 from comfreywind.decisions.scheduling.open_start import DEFAULT_LEASE_LIMIT_S
 from comfreywind.decisions.scheduling.pace import choose_pace
@@ -93,6 +94,7 @@
         self.open_starts = OpenStarts(lease_limit_s)
         self._doubts: dict[str, TargetDoubt] = {}
         self._closing: dict[str, JobRecord] = {}
+        self._crashes = CrashHistory()
 
     # Rows of the store
 
@@ -630,7 +632,7 @@
         self.mark_changed(record)
 
     def _apply_crash(self, target: TargetRecord, lost: Iterable[RunRecord]) -> None:
-        for record, given_up in count_crash(self.jobs, target, lost):
+        for record, given_up in count_crash(self.jobs, self._crashes, target, lost):
             self.mark_changed(record)
             if given_up and record.open:
                 record.progress.state = JobState.FAILED
