Keep VMs in their pool on which a place is kept for a moved task

Found by reading. A VM with a kept place and no run counted as idle, so the pool could move it after the run that was to come had been stopped. Such a VM has work now. Also: a place counts from the stop of its run, not from the time at which it was chosen on a full target; a gang with a member on a silent target is not stopped, as the stop may not be heard of; a gang's runs are counted once in the log.

Without the first change test_vm_with_a_kept_place_stays fails; the others have no test of their own.

--- a/comfreywind/scheduling/evacuation_mover.py
+++ b/comfreywind/scheduling/evacuation_mover.py
@@ -3,7 +3,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from comfreywind.decisions.scheduling.evacuation_moves import (
     StayReason,
@@ -31,7 +31,7 @@
 class _Unit:
     """Runs that are stopped together: one run, or all runs of a gang.
 
-    `leaving` are those in an evacuated data centre.
+    `leaving` are those in an evacuated data centre that would not finish soon.
     """
 
     record: JobRecord
@@ -39,6 +39,10 @@
     runs: tuple[RunRecord, ...]
     leaving: tuple[RunRecord, ...]
 
+    def add_leaving(self, run: RunRecord) -> '_Unit':
+        """Return the unit with another run that leaves."""
+        return replace(self, leaving=(*self.leaving, run))
+
 
 class EvacuationMover:
     """Stops runs in evacuated data centres when there is a place for them elsewhere.
@@ -76,7 +80,7 @@
         units: dict[TaskKey, _Unit] = {}
         for target in targets:
             if _get_data_centre(target) in data_centres:
-                self._sort_runs(target, data_centres, units)
+                self._sort_runs(target, units)
         return [order for unit in _sort_units(units.values()) for order in self._advance_unit(unit)]
 
     def count_vms_for_moves(self, pool: str) -> int:
@@ -99,20 +103,16 @@
             if _get_data_centre(self._state.targets[run.target_id]) not in data_centres:
                 self.holds.release(key)
 
-    def _sort_runs(
-        self,
-        target: TargetRecord,
-        data_centres: frozenset[str],
-        units: dict[TaskKey, _Unit],
-    ) -> None:
+    def _sort_runs(self, target: TargetRecord, units: dict[TaskKey, _Unit]) -> None:
         """Count the runs of a target that stay, and add those that are to be moved to `units`."""
         for run in target.runs.values():
             reason = self._find_reason_to_stay(target, run)
-            if reason is None:
-                unit = self._make_unit(run, data_centres)
-                units[unit.runs[0].key] = unit
-            else:
+            if reason is not None:
                 self._count(run, reason)
+                continue
+            unit = self._make_unit(run)
+            known = units.get(unit.runs[0].key)
+            units[unit.runs[0].key] = unit if known is None else known.add_leaving(run)
 
     def _find_reason_to_stay(self, target: TargetRecord, run: RunRecord) -> StayReason | None:
         record = self._state.jobs.get(run.key.job_id)
@@ -126,16 +126,11 @@
             return StayReason.FINISHES
         return StayReason.ALL_EVACUATED if self._all_evacuated else None
 
-    def _make_unit(self, run: RunRecord, data_centres: frozenset[str]) -> _Unit:
+    def _make_unit(self, run: RunRecord) -> _Unit:
         record = self._state.jobs[run.key.job_id]
         keys = sorted(record.list_tasks_sharing_end(run.key))
         runs = tuple(record.runs[key] for key in keys if key in record.runs)
-        leaving = tuple(
-            member
-            for member in runs
-            if _get_data_centre(self._state.targets[member.target_id]) in data_centres
-        )
-        return _Unit(record, record.job.steps[run.key.step], runs, leaving)
+        return _Unit(record, record.job.steps[run.key.step], runs, (run,))
 
     def _advance_unit(self, unit: _Unit) -> list[Order]:
         reason = self._prepare(unit)
@@ -153,6 +148,7 @@
                 run.target_id,
                 self.holds.get_target_id(run.key),
             )
+            self.holds.renew(run.key, self._now_s)
             orders.extend(self._state.stop_run(run, self._now_s))
         return orders
 
@@ -160,6 +156,8 @@
         """Keep places for the runs, and return STOPPING once all of them are free."""
         if any(run.state is not RunState.RUNNING for run in unit.runs):
             return StayReason.UNCONFIRMED
+        if any(self._state.targets[run.target_id].silent for run in unit.runs):
+            return StayReason.UNREACHABLE
         if not self._allows_stop(unit):
             return StayReason.AVAILABILITY
         held = [self.holds.by_key.get(run.key) for run in unit.runs]
--- a/comfreywind/scheduling/place_holds.py
+++ b/comfreywind/scheduling/place_holds.py
@@ -1,7 +1,7 @@
 """Places that are kept free on targets for tasks that are about to be moved there."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from comfreywind.jobs.resources import Resources
 from comfreywind.jobs.task_key import TaskKey
@@ -42,6 +42,10 @@
         if hold is not None:
             hold.target.held = hold.target.held.subtract(hold.request)
 
+    def renew(self, key: TaskKey, now_s: float) -> None:
+        """Keep a place from now on for as long as a new one."""
+        self.by_key[key] = replace(self.by_key[key], since_s=now_s)
+
     def get_target_id(self, key: TaskKey) -> str:
         """Return the target on which a place is kept for the task."""
         target = self.by_key[key].target
--- a/comfreywind/scheduling/pool_sizer.py
+++ b/comfreywind/scheduling/pool_sizer.py
@@ -104,8 +104,8 @@
     def start_move(self, vm: Vm, pool: str, now_s: float) -> bool:
         """Record a move before its order and stop new work; return False if the VM must stay."""
         record = self._state.targets.get(vm.target_id)
-        has_runs = record is not None and record.runs
-        if has_runs or vm.data_centre in (self._list_evacuated() or NO_DATA_CENTRES):
+        has_work = record is not None and record.has_work
+        if has_work or vm.data_centre in (self._list_evacuated() or NO_DATA_CENTRES):
             return False
         if record is not None:
             record.emptying = True
@@ -217,5 +217,5 @@
             return standby
         # The runs on a target that has not reported to this holder are not known.
         known = record.reported and not record.silent
-        busy = record.runs or record.emptying or record.entry.draining or record.leaving
+        busy = record.has_work or record.emptying or record.entry.draining or record.leaving
         return known and not busy
--- a/comfreywind/scheduling/target_record.py
+++ b/comfreywind/scheduling/target_record.py
@@ -85,6 +85,11 @@
         """Return the capacity that no run has reserved and that is kept for none."""
         return self.entry.capacity.subtract(self.used).subtract(self.held)
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether the target has runs, or is to get some that are moved there."""
+        return bool(self.runs) or self.held != NO_RESOURCES
+
     def may_start(self, now_s: float) -> bool:
         """Return whether a run may be started on the target at this moment."""
         accepts_starts = self._has_current_capacity() and not self.has_open_suspect()
--- a/tests/scheduling/test_pool_sizer.py
+++ b/tests/scheduling/test_pool_sizer.py
@@ -137,6 +137,15 @@
     assert not sizer.start_move(vms['s0'], POOL, harness.now_s)
 
 
+def test_vm_with_a_kept_place_stays() -> None:
+    """An idle VM is not moved on which a place is kept for a task that is being stopped."""
+    harness = SchedulerHarness(targets=4)
+    harness.scheduler_state.targets['t0'].held = Resources(1000, 100)
+    sizer = PoolSizer(harness.scheduler_state, POLICY)
+    assert 'vm0' not in {move.vm for move in choose_later(sizer, harness)}
+    assert not sizer.start_move(VMS['vm0'], POOL, harness.now_s)
+
+
 def test_pool_waits_for_requests() -> None:
     """A new holder moves no VM before it knows which data centres are evacuated."""
     harness = SchedulerHarness(targets=4)
