Move the outcomes of starts out of the scheduler state

One change of behaviour: a target in doubt that lists a run takes no task from the target that an open start binds it to; the open start would have been forgotten. Found by reading.

--- a/comfreywind/scheduling/scheduler_state.py
+++ b/comfreywind/scheduling/scheduler_state.py
@@ -34,6 +34,7 @@
 from comfreywind.scheduling.open_starts import OpenStarts
 from comfreywind.scheduling.orders import Order, PaceOrder, StartOrder, StopOrder
 from comfreywind.scheduling.run_record import RunRecord, RunState
+from comfreywind.scheduling.start_outcomes import StartOutcomes
 from comfreywind.scheduling.target_record import TargetRecord
 
 # A target with this many failed runs in a row is assumed to fail every task.
@@ -53,7 +54,6 @@
     StartAnswer.UNKNOWN: RunState.UNCONFIRMED,
     StartAnswer.DISCONNECTED: RunState.UNCONFIRMED,
 }
-ANSWERS_WITHOUT_REPLY = frozenset((StartAnswer.UNKNOWN, StartAnswer.DISCONNECTED))
 EVIDENCE_BY_ANSWER = {
     StartAnswer.STARTED: StartEvidence.ACKNOWLEDGED,
     StartAnswer.DISCONNECTED: StartEvidence.DISCONNECTED,
@@ -94,6 +94,7 @@
         self.early_cancels: set[str] = set()
         self.added_jobs_count = 0
         self.open_starts = OpenStarts(lease_limit_s)
+        self._outcomes = StartOutcomes(self.open_starts, self.jobs)
         self._doubts: dict[str, TargetDoubt] = {}
         self._closing: dict[str, JobRecord] = {}
 
@@ -253,8 +254,8 @@
         """Apply the reply to a start order and return the orders that follow."""
         answer = reply.answer
         record = self.targets.get(order.target_id)
-        self._record_reply(record, order, reply, now_s)
         run = self._get_run(order.target_id, order.key, order.run_id)
+        self._outcomes.record_reply(record, run, order, reply, now_s)
         if record is None or run is None:
             return []
         run.last_answer_s = now_s
@@ -423,52 +424,6 @@
         record.known_runs = max(record.known_runs, shown)
         record.silent = False
 
-    def _record_reply(
-        self, record: TargetRecord | None, order: StartOrder, reply: StartReply, now_s: float
-    ) -> None:
-        """Record whether a start order may still be carried out."""
-        if reply.answer in ANSWERS_WITHOUT_REPLY:
-            self._record_no_reply(order, now_s)
-        elif record is not None and reply.answer is StartAnswer.STARTED:
-            self._record_start(record, order, reply, now_s)
-        else:
-            self.open_starts.close(order.key, order.run_id)
-
-    def _record_no_reply(self, order: StartOrder, now_s: float) -> None:
-        """Record that the target may carry out a start order later."""
-        run = self._get_run(order.target_id, order.key, order.run_id)
-        if run is None:
-            self.open_starts.extend(order.key, order.run_id, now_s)
-        else:
-            self._bind(run.target_id, run.key, run.run_id, now_s)
-
-    def _record_start(
-        self, record: TargetRecord, order: StartOrder, reply: StartReply, now_s: float
-    ) -> None:
-        """Record which incarnation has carried out a start order.
-
-        The order stays open unless a settled incarnation has: another one counts the lease from a
-        clock that the order doesn't know, and late orders may extend it.
-        """
-        run = self._get_run(order.target_id, order.key, order.run_id)
-        if run is not None:
-            run.confirmed_ms = max(reply.incarnation_start_ms or record.incarnation_start_ms, 1)
-        if 0 < reply.incarnation_start_ms < record.incarnation_start_ms:
-            # The run has ended with its incarnation.
-            self.open_starts.close(order.key, order.run_id)
-            return
-        is_present = record.is_from_present(reply, now_s)
-        if run is None or not (is_present and record.doubt.settled):
-            self._record_no_reply(order, now_s)
-        else:
-            self.open_starts.close(order.key, order.run_id)
-        if record.doubt.settled and reply.tells_incarnation and not is_present:
-            log.info(
-                'target %s: it may have restarted, as its reply to a start tells another clock',
-                record.entry.target_id,
-            )
-            record.raise_fence()
-
     def _settle(
         self, record: TargetRecord, report: TargetReport, fence: int, now_s: float
     ) -> list[Order]:
@@ -518,26 +473,12 @@
             self._apply_crash(record, lost)
 
     def _drop_runs(self, record: TargetRecord, runs: Iterable[RunRecord]) -> None:
-        """Drop runs that have ended, and requeue their tasks.
-
-        A task whose run may exist again or still, because of an order that is carried out late, may
-        be started on the same target only.
-        """
+        """Drop runs that have ended, and requeue their tasks."""
         for run in tuple(runs):
-            if run.may_be_unanswered or record.doubt.may_extend(run.confirmed_ms):
-                self._bind(
-                    run.target_id, run.key, run.run_id, max(run.started_s, record.doubt.ordered_s)
-                )
-            elif run.confirmed_ms:
-                self.open_starts.close(run.key, run.run_id)
+            self._outcomes.record_dropped(record, run)
             self.discard_run(run)
             self.requeue(run.key)
 
-    def _bind(self, target_id: str, key: TaskKey, run_id: int, sent_s: float) -> None:
-        """Bind a task to a target until orders that were sent until `sent_s` have no effect."""
-        if key.job_id in self.jobs:
-            self.open_starts.add(key, target_id, run_id, sent_s)
-
     def _apply_refusal(self, record: TargetRecord, answer: StartAnswer, now_s: float) -> None:
         if answer is StartAnswer.REPLACED:
             record.leaving = True
@@ -643,15 +584,9 @@
         self._mark_job_started(key.job_id)
         orders = [] if key in target.runs else self._adopt_run(target, key, run_id, now_s)
         run = target.runs[key]
-        if target.doubt.settled:
-            self.open_starts.close(key, run_id)
-        else:
-            # A late order may extend its lease, which the next holder has to know.
-            self._bind(run.target_id, key, run_id, now_s)
-        if run.run_id == run_id:
-            run.confirmed_ms = max(target.incarnation_start_ms, 1)
-            if run.state is RunState.UNCONFIRMED:
-                run.state = RunState.RUNNING
+        self._outcomes.record_active(target, run_id, run, now_s)
+        if run.run_id == run_id and run.state is RunState.UNCONFIRMED:
+            run.state = RunState.RUNNING
         return orders
 
     def _adopt_run(
