Divide VMs by need when pools together want more than there are

Cause: a pool that lacks VMs was served first by what it wants, which is up to three times its load divided by the fill of 0.7.

Change: when the pools together want more than there are, the least size, the present work, the forecast and the headroom of all pools are met in this order, each by the same ratio for all pools (vm_shares.py). Nothing changes while there are enough VMs.

--- a/comfreywind/decisions/scheduling/pool_size.py
+++ b/comfreywind/decisions/scheduling/pool_size.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from comfreywind.decisions.scheduling.pool_policy import PoolPolicy
+from comfreywind.decisions.scheduling.vm_shares import VmNeed, divide_vms
 
 DEFAULT_POLICY = PoolPolicy()
 
@@ -58,6 +59,33 @@
     return load.usable + load.arriving - compute_wanted_vms(load, policy)
 
 
+def compute_surpluses(
+    loads: Collection[PoolLoad], policy: PoolPolicy = DEFAULT_POLICY
+) -> dict[str, int]:
+    """Return how many VMs each pool has beyond its size; negative when it lacks some.
+
+    A pool has the size that it wants, or a share of all VMs when the pools together want more.
+    """
+    surpluses = {load.pool: compute_surplus_vms(load, policy) for load in loads}
+    working_loads = [load for load in loads if not load.standby]
+    available = sum(load.usable + load.arriving for load in working_loads)
+    available += sum(len(load.idle_vms) for load in loads if load.standby)
+    needs = {load.pool: _describe_need(load, policy) for load in working_loads}
+    if sum(need.wanted for need in needs.values()) > available:
+        sizes = divide_vms(needs, available)
+        surpluses.update(
+            {load.pool: load.usable + load.arriving - sizes[load.pool] for load in working_loads}
+        )
+    return surpluses
+
+
+def _describe_need(load: PoolLoad, policy: PoolPolicy) -> VmNeed:
+    wanted = compute_wanted_vms(load, policy)
+    present = math.ceil(load.load_vms) + load.vms_for_long_running
+    expected = max(present, math.ceil(load.expected_vms) + load.vms_for_long_running)
+    return VmNeed(min(policy.smallest_pool, wanted), present, expected, wanted)
+
+
 def _sort_by_need(loads: Iterable[PoolLoad], surplus_by_pool: dict[str, int]) -> list[PoolLoad]:
     return sorted(loads, key=lambda load: surplus_by_pool[load.pool])
 
@@ -68,7 +96,7 @@
     Pools that lack VMs get them from standby first, then from pools with a surplus. VMs move to
     standby only from pools whose surplus has lasted long enough.
     """
-    surplus_by_pool = {load.pool: compute_surplus_vms(load, policy) for load in loads}
+    surplus_by_pool = compute_surpluses(loads, policy)
     working_loads = [load for load in loads if not load.standby]
     standby_loads = [load for load in loads if load.standby]
     standby_vms = [vm for load in standby_loads for vm in load.idle_vms]
