--- /dev/null
+++ b/comfreywind/decisions/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about clients of the process: what they may take up, and whom to close first."""
