--- a/comfreywind/scheduling/run_record.py
+++ b/comfreywind/scheduling/run_record.py
@@ -36,6 +36,8 @@
     it, or None before, and `confirmed_ms` the start of the incarnation that has shown it, or 0.
     `suspect` marks the run of a task that may crash its target: nothing else is started there until
     reports have shown progress of the run, or that it goes on.
+    `image` names what the task runs, or is empty if that is unknown, and `comparable_ms` is the
+    estimate of the run time if a longer one would show that others slow the task down, or 0.
     """
 
     key: TaskKey
@@ -62,6 +64,8 @@
     shown_s: float | None = None
     confirmed_ms: int = 0
     suspect: bool = False
+    image: str = ''
+    comparable_ms: int = 0
 
     @property
     def shows_progress(self) -> bool:
