Cut the feeds of the soak's store after they were quiet

Cause: the soak with evacuations let feeds be quiet and then go on. The stand-in's quiet feed answers with the newest version, so a change of that time was told to nobody for good; the platform cuts such feeds, as their history is gone.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -91,6 +91,9 @@
                 setattr(faults, kind, True)
                 await trio.sleep(generator.uniform(0.5, 4))
                 setattr(faults, kind, False)
+                # As on the platform, feeds that were quiet are then cut: their history is gone.
+                fleet.store.store.put('soak', 'history', '')
+                fleet.store.store.oldest_history = fleet.store.store.version
             await trio.sleep(duration_s)
 
 
