Play late starts and late extensions at targets that restart and are cut off in the soak

Each seed has one of the two orders of events of docs/incidents/2026-12-07-targets-in-doubt.md, beside the series of before. Every other seed has a VM service, whose list is up to date or 3 s old and names no target of a VM that is down. The stand-in of the store lists the VMs that a test gives it; orders for VMs get 404, where they got 200 and a list before.

Ruled out: the series at targets drawn at random. Now the target is the one that gets the first late start, or has the most runs.

--- a/comfreywind/stand_ins/jobs/store_app.py
+++ b/comfreywind/stand_ins/jobs/store_app.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -17,15 +18,20 @@
 BODY_LIMIT_BYTES = 1_048_576
 MS_PER_S = 1000
 Query = dict[str, list[str]]
+Machines = list[dict[str, object]]
 
 
 class StoreApp:
-    """Transactions, range reads and feeds over rows in memory; the list of VMs is empty."""
+    """Transactions, range reads and feeds over rows in memory.
+
+    It lists the VMs that `list_machines` returns, and takes no orders for them.
+    """
 
     def __init__(self) -> None:
         """Start empty and without faults."""
         self.store = RowStore()
         self.faults = StoreFaults()
+        self.list_machines: Callable[[], Machines] = list
         self._free_s: dict[str, float] = {}
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -44,8 +50,11 @@
             await self._reply(send, 200, {'rows': self._read_range(query), 'has_more': False})
         elif path == '/v1/rows-feed':
             await self._feed(query, send)
+        elif path == '/v1/machines':
+            machines = self.list_machines()
+            await self._reply(send, 200, {'machines': machines, 'next_token': None})
         else:
-            await self._reply(send, 200, {'machines': [], 'next_token': None})
+            await self._reply(send, 404, {})
 
     def write_document(self, table: str, key: str, document: object) -> None:
         """Write a JSON document as the operator or a target does."""
--- a/comfreywind/stand_ins/jobs/target_app.py
+++ b/comfreywind/stand_ins/jobs/target_app.py
@@ -53,7 +53,8 @@
     A spec of `work_s=N` sets how long a task works, `fail` lets it fail, `last` never end. Orders
     that come before `silent_until_s` are carried out and answered then. A start takes `start_s`.
     While `late_s` is set, starts get no reply and are carried out that much later, by the incarnation
-    that is `up` then, and so are extensions of the lease if `late_holds` is set.
+    that is `up` then, unless `late_starts` is unset, and so are extensions of the lease if `late_holds`
+    is set. `late_starts_count` counts such starts.
     """
 
     def __init__(self, log: StartLog) -> None:
@@ -67,7 +68,9 @@
         self.silent_until_s = float('-inf')
         self.start_s = float(0)
         self.late_s = float(0)
+        self.late_starts = True
         self.late_holds = False
+        self.late_starts_count = 0
         self.up = True
         self.note_fence: Callable[[int], None] = _ignore_fence
         self._highest_ended: dict[str, int] = {}
@@ -80,6 +83,7 @@
         """Serve one call."""
         order = await read_json(receive, BODY_LIMIT_BYTES)
         if self._is_late(scope['path']):
+            self.late_starts_count += int(scope['path'] == '/v1/run-start')
             trio.lowlevel.spawn_system_task(self._carry_out_late, scope['path'], order)
             await trio.sleep_forever()
         await trio.sleep_until(self.silent_until_s)
@@ -114,7 +118,8 @@
 
     def _is_late(self, path: str) -> bool:
         held = self.late_holds and path == '/v1/hold'
-        return bool(self.late_s) and (held or path == '/v1/run-start')
+        started = self.late_starts and path == '/v1/run-start'
+        return bool(self.late_s) and (held or started)
 
     async def _carry_out_late(self, path: str, order: dict[str, Any]) -> None:
         await trio.sleep(self.late_s)
--- a/tests/helpers/soak_fleet.py
+++ b/tests/helpers/soak_fleet.py
@@ -14,7 +14,7 @@
 import httpcore
 import trio
 
-from bench.job_fleet import HOST, KEY, PREFIX, QUEUE_HOST, describe_target, make_config
+from bench.job_fleet import HOST, KEY, POOL, PREFIX, QUEUE_HOST, describe_target, make_config
 from bench.ports import PORTS
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
@@ -33,6 +33,10 @@
 [platform]
 address = "{store}"
 """
+VM_SETTINGS = """
+[cloud_api]
+address = "{store}"
+"""
 HEADERS = [(b'host', QUEUE_HOST.encode()), (b'authorization', f'Bearer {KEY}'.encode())]
 REJECTED = frozenset((400, 401, 404, 409, 429, 503))
 ATTEMPTS = 5
@@ -42,11 +46,12 @@
 class SoakNode:
     """A node process, and the client whose connections stay open until it is gone."""
 
-    def __init__(self, name: str, folder: Path, store: Address) -> None:
-        """Write the settings; nothing runs yet."""
+    def __init__(self, name: str, folder: Path, store: Address, lists_vms: bool) -> None:
+        """Write the settings and start the process."""
         ports = {kind: PORTS.find_free() for kind in ('peer', 'frontend', 'ready')}
         self.path = folder / f'{name}.toml'
-        self.path.write_text(SETTINGS.format(name=name, store=store, **ports))
+        settings = SETTINGS + VM_SETTINGS if lists_vms else SETTINGS
+        self.path.write_text(settings.format(name=name, store=store, **ports))
         self.client = HttpClient(Address(HOST, ports['frontend']), 4)
         self.log_path = folder / f'{name}.log'
         self.start()
@@ -92,6 +97,7 @@
         self.address = Address(HOST, PORTS.find_free())
         self._scope = trio.CancelScope()
         self._down_s = 0.0
+        self._states = [(float('-inf'), True)]
         self.register()
 
     def register(self) -> None:
@@ -99,6 +105,13 @@
         entry = {**describe_target(self.address), 'born': self.app.born_ms}
         self._store.write_document('servers', self.name, entry)
 
+    def describe_vm(self, age_s: float) -> dict[str, object]:
+        """Return the entry of a list of VMs of that age, which names no target of a VM that is down."""
+        listed_s = trio.current_time() - age_s
+        up = [is_up for since_s, is_up in self._states if since_s <= listed_s][-1]
+        state, target_id = ('up', self.name) if up else ('down', None)
+        return {'machine': f'vm-{self.name}', 'pool': POOL, 'state': state, 'id': target_id}
+
     async def serve(self) -> None:
         """Serve one incarnation after another until cancelled."""
         while True:
@@ -108,11 +121,13 @@
             await trio.sleep(self._down_s)
             self.app.restart()
             self.app.up = True
+            self._states.append((trio.current_time(), True))
 
     async def crash(self, down_s: float, register_after_s: float) -> None:
         """End the present incarnation; the next one registers some time after its start."""
         self.app.restart()
         self.app.up, self._down_s = False, down_s
+        self._states.append((trio.current_time(), False))
         self._scope.cancel()
         await trio.sleep(down_s + register_after_s)
         self.register()
@@ -176,19 +191,23 @@
 
 
 @asynccontextmanager
-async def run_soak_fleet(nodes_count: int, targets_count: int) -> AsyncIterator[SoakFleet]:
-    """Run a fleet until the block is left."""
+async def run_soak_fleet(
+    nodes_count: int, targets_count: int, list_age_s: float | None = None
+) -> AsyncIterator[SoakFleet]:
+    """Run a fleet until the block is left; its nodes can read a list of VMs of that age, if any."""
     store, address = StoreApp(), Address(HOST, PORTS.find_free())
     store.write_document('op', 'config', make_config())
     log = StartLog()
     targets = [SoakTarget(f'i-{number}', log, store) for number in range(targets_count)]
+    store.list_machines = lambda: [target.describe_vm(list_age_s or 0) for target in targets]
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(partial(serve_app, store, address, trio.Event()))
             for target in targets:
                 nursery.start_soon(target.serve)
             nodes = [
-                SoakNode(f'node-{number}', Path(folder), address) for number in range(nodes_count)
+                SoakNode(f'node-{number}', Path(folder), address, list_age_s is not None)
+                for number in range(nodes_count)
             ]
             try:
                 yield SoakFleet(nodes, targets, store, log)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -24,6 +24,11 @@
     ('late', 'crash', 'crash'),
     ('late', 'cut', 'crash'),
 )
+# In the two orders of events of docs/incidents/2026-12-07-targets-in-doubt.md a target is cut off for
+# longer than a lease.
+LONG_CUT_S = 9.0
+# Half of the seeds have no list of VMs, the others one of that age.
+LIST_AGES_S = (None, 0.0, None, 3.0)
 NODES = 3
 TARGETS = 4
 
@@ -49,6 +54,48 @@
         await trio.sleep(generator.uniform(0, 1.5))
 
 
+async def start_late_then_cut(fleet: SoakFleet, generator: random.Random) -> None:
+    """Let a target crash just after starts that come late, and be cut off just after its restart."""
+    for target in fleet.targets:
+        # Without replies to polls the targets would be silent, and get no starts.
+        target.app.late_s, target.app.late_holds = 2, False
+    started: list[SoakTarget] = []
+    while not started:
+        await trio.sleep(0.001)
+        started = [target for target in fleet.targets if target.app.late_starts_count]
+    for target in fleet.targets:
+        target.app.late_s, target.app.late_holds = 2 if target in started else 0, True
+    await trio.sleep(generator.choice((0.01, 0.3)))
+    for target in started:
+        target.app.late_s = 0
+    await crash_then_cut(started[0], 0.7, generator.choice((0, 0.3, 0.7)), 0.003)
+
+
+async def extend_late_then_cut(fleet: SoakFleet, generator: random.Random) -> None:
+    """Let the target with most runs crash after extensions that come late, then take starts."""
+    await trio.sleep(generator.uniform(1, 3))
+    target = max(fleet.targets, key=lambda each: len(each.app.runs))
+    app = target.app
+    app.late_s, app.late_holds, app.late_starts = 1.5, True, False
+    await trio.sleep(generator.uniform(0.1, 1.4))
+    app.late_s, app.late_starts = 0, True
+    await crash_then_cut(target, 0.5, generator.choice((0, 0.3)), generator.uniform(0.2, 1.4))
+
+
+async def crash_then_cut(
+    target: SoakTarget, down_s: float, register_after_s: float, cut_after_s: float
+) -> None:
+    """Crash, and be cut off that long after the return, also before the registration."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(target.crash, down_s, register_after_s)
+        while target.app.up:
+            await trio.sleep(0.001)
+        while not target.app.up:
+            await trio.sleep(0.001)
+        await trio.sleep(cut_after_s)
+        target.app.silent_until_s = trio.current_time() + LONG_CUT_S
+
+
 async def disturb_nodes(fleet: SoakFleet, generator: random.Random) -> None:
     """Kill, stop and freeze nodes, one after the other or at the same time."""
     async with trio.open_nursery() as nursery:
@@ -88,13 +135,16 @@
 async def test_soak(seed: int) -> None:
     """Runs no task twice at the same time, nothing that was refused, and each job to its end."""
     generator = random.Random(seed)
-    async with run_soak_fleet(NODES, TARGETS) as fleet:
+    list_age_s = LIST_AGES_S[seed % len(LIST_AGES_S)]
+    async with run_soak_fleet(NODES, TARGETS, list_age_s) as fleet:
         await trio.sleep(2)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(hand_in, fleet, generator)
             nursery.start_soon(disturb_nodes, fleet, generator)
             nursery.start_soon(disturb_store, fleet, generator)
-            for target in generator.sample(fleet.targets, TARGETS - 1):
+            doubt = generator.choice((start_late_then_cut, extend_late_then_cut))
+            nursery.start_soon(doubt, fleet, generator)
+            for target in generator.sample(fleet.targets, TARGETS - 2):
                 await trio.sleep(generator.uniform(0.5, 2))
                 nursery.start_soon(disturb_target, target, generator)
         unfinished = await fleet.wait_ended(END_LIMIT_S)
