--- a/tests/helpers/soak_fleet.py
+++ b/tests/helpers/soak_fleet.py
@@ -16,7 +16,7 @@
 import httpcore
 import trio
 
-from bench.job_fleet import HOST, KEY, PREFIX, QUEUE_HOST, describe_target, make_config
+from bench.job_fleet import HOST, KEY, POOL, PREFIX, QUEUE_HOST, describe_target, make_config
 from bench.ports import PORTS
 from comfreywind.http.client import HttpClient
 from comfreywind.http.server import serve_app
@@ -37,6 +37,10 @@
 [platform]
 address = "{store}"
 """
+VM_SETTINGS = """
+[cloud_api]
+address = "{store}"
+"""
 HEADERS = [(b'host', QUEUE_HOST.encode()), (b'authorization', f'Bearer {KEY}'.encode())]
 REJECTED = frozenset((400, 401, 404, 409, 429, 503))
 ATTEMPTS = 5
@@ -107,6 +111,7 @@
         self.address = Address(HOST, PORTS.find_free())
         self._scope = trio.CancelScope()
         self._down_s = 0.0
+        self._states = [(float('-inf'), True)]
         self.register()
 
     def register(self) -> None:
@@ -118,6 +123,19 @@
         }
         self._store.write_document('servers', self.name, entry)
 
+    def describe_vm(self, age_s: float) -> dict[str, object]:
+        """Return the entry of a list of VMs of that age, which names no target of a VM that is down."""
+        listed_s = trio.current_time() - age_s
+        up = [is_up for since_s, is_up in self._states if since_s <= listed_s][-1]
+        state, target_id = ('up', self.name) if up else ('down', None)
+        return {
+            'machine': f'vm-{self.name}',
+            'pool': POOL,
+            'state': state,
+            'zone': self.data_centre,
+            'id': target_id,
+        }
+
     async def serve(self) -> None:
         """Serve one incarnation after another until cancelled."""
         while True:
@@ -127,11 +145,13 @@
             await trio.sleep(self._down_s)
             self.app.restart()
             self.app.up = True
+            self._states.append((trio.current_time(), True))
 
     async def crash(self, down_s: float, register_after_s: float) -> None:
         """End the present incarnation; the next one registers some time after its start."""
         self.app.restart()
         self.app.up, self._down_s = False, down_s
+        self._states.append((trio.current_time(), False))
         self._scope.cancel()
         await trio.sleep(down_s + register_after_s)
         self.register()
@@ -234,9 +254,15 @@
 
 @asynccontextmanager
 async def run_soak_fleet(
-    nodes_count: int, targets_count: int, more_settings: str = ''
+    nodes_count: int,
+    targets_count: int,
+    more_settings: str = '',
+    list_age_s: float | None = None,
 ) -> AsyncIterator[SoakFleet]:
-    """Run a fleet until the block is left; `more_settings` end the settings file of each node."""
+    """Run a fleet until the block is left; `more_settings` end the settings file of each node.
+
+    The nodes can read a list of VMs of the age `list_age_s`, if there is one.
+    """
     store, address = StoreApp(), Address(HOST, PORTS.find_free())
     store.write_document('op', 'config', make_config())
     log = StartLog()
@@ -244,6 +270,9 @@
         SoakTarget(f'i-{number}', log, store, DATA_CENTRES[number % len(DATA_CENTRES)])
         for number in range(targets_count)
     ]
+    store.list_machines = lambda: [target.describe_vm(list_age_s or 0) for target in targets]
+    if list_age_s is not None:
+        more_settings += VM_SETTINGS.format(store=address)
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(partial(serve_app, store, address, trio.Event()))
