Find the target with the most figures of a neighbour by a majority vote

The vote needs two numbers a neighbour. It is exact when one target has most of the figures, which is the case to be found, and lower otherwise.

tests/decisions, test_interference_starts, test_separator, test_board and test_capacity_index: 271 passed.

--- a/comfreywind/decisions/scheduling/effect_regression.py
+++ b/comfreywind/decisions/scheduling/effect_regression.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import repeat
 
 from comfreywind.decisions.scheduling.symmetric_inverse import invert
@@ -26,8 +26,6 @@
 INDEPENDENT_OF_LOAD_RATIO = 0.5
 # Name of the neighbour that stands for the processor load of the other tasks on a target.
 LOAD = ''
-# Targets of which the figures of a neighbour are counted, to find the one with most of them.
-TARGETS_KEPT = 3
 # Weights grow with time instead of being decayed at each figure, until they are this large.
 WEIGHT_LIMIT = 1e6
 # After so many half-lives without figures their weight is nothing; a higher power may overflow.
@@ -43,7 +41,8 @@
     `mean` is the estimate, `error` its standard error, and `baseline` the figure without any
     neighbour. `information` is how many figures tell the effect apart from everything else. It is
     low for a neighbour that is always there, never there, or always together with another.
-    `elsewhere` is how many of the figures with the neighbour are not from the target with the most.
+    `elsewhere` is how many figures with the neighbour are not from the target with the most, or
+    fewer if no target has most of them.
     """
 
     mean: float
@@ -55,28 +54,34 @@
 
 @dataclass(slots=True)
 class _Partner:
-    """A neighbour: its place in the matrix, and the weight of its figures by target."""
+    """A neighbour: its place in the matrix, and the weight of its figures.
+
+    `lead` is by how much those of `main_target` outweigh the others, as in a majority vote.
+    """
 
     index: int
     seen_s: float
     total: float = 0
-    by_target: dict[str, float] = field(default_factory=dict)
+    main_target: str = ''
+    lead: float = 0
 
     def note_seen(self, target_id: str, weight: float, now_s: float) -> None:
         self.seen_s = now_s
         self.total += weight
-        if target_id not in self.by_target and len(self.by_target) >= TARGETS_KEPT:
-            del self.by_target[min(self.by_target, key=self.by_target.__getitem__)]
-        self.by_target[target_id] = self.by_target.get(target_id, 0) + weight
+        if target_id == self.main_target:
+            self.lead += weight
+            return
+        self.lead -= weight
+        if self.lead < 0:
+            self.main_target = target_id
+            self.lead = -self.lead
 
     def compute_elsewhere(self) -> float:
-        return self.total - max(self.by_target.values())
+        return (self.total - self.lead) / 2
 
     def scale(self, divisor: float) -> None:
         self.total /= divisor
-        self.by_target = {
-            target_id: weight / divisor for target_id, weight in self.by_target.items()
-        }
+        self.lead /= divisor
 
 
 class EffectRegression:
