--- a/comfreywind/scheduling/job_record.py
+++ b/comfreywind/scheduling/job_record.py
@@ -20,9 +20,10 @@
 
     `waiting` holds the tasks that are ready to start, in order. `unlocked` are the steps, as pairs
     of occurrence and step number, whose tasks became ready, and `open_tasks_by_step` counts the
-    tasks of each step that are not done. `unlock_queue` tells which steps may be unlockable. `suspects` are tasks that may crash their target. `reconciled` is false while a run
-    of an earlier holder may exist that this holder does not know. `advice` holds the answers of the
-    advice service, by occurrence and step number.
+    tasks of each step that are not done. `unlock_queue` tells which steps may be unlockable.
+    `suspects` are tasks that may crash their target. `reconciled` is false while a run of an earlier
+    holder may exist that this holder does not know. `advice` holds the answers of the advice
+    service, by occurrence and step number.
     """
 
     job: Job
