--- a/review/11/case.py
+++ b/review/11/case.py
@@ -10,7 +10,7 @@
 from rig import run_case
 
 JOB = '5c0e7a21d94b36f8'
-MACHINES = 8
+MACHINES = 14
 STARTUP_S = 1.5
 CRASH_AFTER_S = 0.6
 CRASHES = 2
