--- a/review/parts-3/rig.py
+++ b/review/parts-3/rig.py
@@ -365,6 +365,7 @@
         self.orders = []
         self.startup_s = 1.0
         self.on_start = None
+        self.on_upkeep = None
         self.number = 0
         octets = random.sample(range(10, 250), 2)
         self.net = f'127.{octets[0]}.{octets[1]}'
@@ -489,6 +490,8 @@
         if machine['state'] != 'up':
             return 409, {'reason': 'busy'}
         machine['waves'].add(order['rollout_wave'])
+        if self.on_upkeep is not None:
+            self.on_upkeep(order['machine'], self.executors[machine['target']])
         self.end_executor(order['machine'], 'upkeep')
         self.nursery.start_soon(self.finish_upkeep, order['machine'])
         return 200, {}
