Tell what a call that got no reply in time has waited for

The times at which metrics came into being are left out, as they were a third of the text that is fetched.

--- a/comfreywind/exposed_metrics.py
+++ b/comfreywind/exposed_metrics.py
@@ -2,7 +2,14 @@
 
 import re
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    disable_created_metrics,
+    generate_latest,
+)
 
 from comfreywind.http.asgi_reply import send_reply
 from comfreywind.http.asgi_types import Receive, Scope, Send
@@ -22,7 +29,8 @@
     """
 
     def __init__(self) -> None:
-        """Start without any metric."""
+        """Start without any metric; times at which metrics came into being are left out."""
+        disable_created_metrics()  # type: ignore[no-untyped-call]
         self._registry = CollectorRegistry()
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[str, Histogram] = {}
--- a/comfreywind/intake/caller_call.py
+++ b/comfreywind/intake/caller_call.py
@@ -1,13 +1,16 @@
 """A caller's request as it was received."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from comfreywind.intake.call_trace import CallTrace
 
 
 @dataclass(frozen=True, slots=True)
 class CallerCall:
-    """Method, path, headers by lower-case name, and the whole body."""
+    """Method, path, headers by lower-case name, the whole body, and the steps of its handling."""
 
     method: str
     path: str
     headers: dict[bytes, bytes]
     body: bytes
+    trace: CallTrace = field(default_factory=CallTrace, compare=False)
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -150,7 +150,10 @@
                 note_unexpected('calls', error, self._metrics)
                 return _UNKNOWN_OUTCOME
         log.info(
-            '%s %s: replied 504: not finished at the deadline of the caller', call.method, call.path
+            '%s %s: replied 504: not finished at the deadline of the caller; waited for: %s',
+            call.method,
+            call.path,
+            call.trace.describe(self._clock.read_monotonic_s()),
         )
         return _UNKNOWN_OUTCOME
 
@@ -160,6 +163,7 @@
         return await self._hand_over(call, Reply(503, {'error': 'the store is out of reach'}))
 
     async def _serve_here(self, call: CallerCall) -> Reply:
+        call.trace.begin('the store', self._clock.read_monotonic_s())
         try:
             return await self._route(call.method, call.path, call.headers, call.body)
         except Reply as reply:
--- a/comfreywind/intake/peer_relay.py
+++ b/comfreywind/intake/peer_relay.py
@@ -60,15 +60,18 @@
         may_have_effect = False
         now_s = self._clock.read_monotonic_s()
         for name in choose_peers(peers, self._declined_s, now_s, self._random):
+            call.trace.begin(f'node {name}', self._clock.read_monotonic_s())
             try:
                 reply = await self._ask(peers[name], call)
             except CALL_FAILURES as error:
                 log.info('node %s gave no reply to a relayed call: %r', name, error)
+                self._metrics.count('relayed.unanswered')
                 may_have_effect = True
             else:
                 if reply.status != STATUS_DECLINED:
                     self._metrics.count(f'relayed.{reply.status}')
                     return RelayOutcome(reply, may_have_effect)
+                self._metrics.count('relayed.declined')
             self._declined_s[name] = self._clock.read_monotonic_s()
         self._metrics.count('relayed.none')
         return RelayOutcome(None, may_have_effect)
--- a/comfreywind/scheduling/row_feed.py
+++ b/comfreywind/scheduling/row_feed.py
@@ -67,6 +67,7 @@
                 version = None
             except StoreUnavailableError as error:
                 log.info('table %s not read, trying again: %s', self._table, error)
+                self._metrics.count(f'feeds.{self._table}.unread')
                 self._failed = True
                 await self._pause()
             else:
--- a/comfreywind/scheduling/rules_follower.py
+++ b/comfreywind/scheduling/rules_follower.py
@@ -7,6 +7,7 @@
 from comfreywind.clock import Clock
 from comfreywind.jobs.job_rules import JobRules
 from comfreywind.jobs.maintenance_wave import MaintenanceWave
+from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.rules_codec import decode_rules
 from comfreywind.platform.stored_row import StoredRow
@@ -29,10 +30,13 @@
 class RulesFollower:
     """Owns the node's rules and waves; an older version of the rules never replaces a newer one."""
 
-    def __init__(self, rows: RowsClient, clock: Clock) -> None:
+    def __init__(self, rows: RowsClient, clock: Clock, metrics: Metrics | None = None) -> None:
         """Read the operator's table with the store's client."""
         self._clock = clock
-        self._feed = RowFeed(rows, TABLE_OPERATOR, ('',), self._handle_row, clock)
+        self._metrics = metrics or NoMetrics()
+        self._feed = RowFeed(
+            rows, TABLE_OPERATOR, ('',), self._handle_row, clock, metrics=self._metrics
+        )
         self.rules: JobRules | None = None
         self.waves: dict[int, MaintenanceWave] = {}
         self._wave_end_s: dict[int, float] = {}
@@ -92,4 +96,6 @@
             )
             return
         self.rules = rules
+        self._metrics.set_level('rules.version', rules.version)
+        self._metrics.set_level('rules.bytes', len(payload))
         log.info('rules version %d in force, %d queues', rules.version, len(rules.queues))
