Test that fails: rules whose transfer takes longer than a call may take

A node behind a link of 200 KB/s never has rules in force whose transfer takes 3 s: the read is given up at its limit and begun anew. Callers hear 503 for good.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -77,12 +77,19 @@
 
     @asynccontextmanager
     async def run_node(
-        self, name: str, metrics_address: Address | None = None
+        self,
+        name: str,
+        metrics_address: Address | None = None,
+        store_address: Address | None = None,
     ) -> AsyncIterator[int]:
-        """Run one more node until the block is left; give its number for calls."""
+        """Run one more node until the block is left; give its number for calls.
+
+        It calls the store at the given address, which may be that of a relay.
+        """
         ports = [Address(HOST, PORTS.find_free()) for _ in range(PORTS_PER_NODE)]
         ports[2] = metrics_address or ports[2]
-        node = Node(make_settings(name, ports, self.store_address), SystemClock())
+        settings = make_settings(name, ports, store_address or self.store_address)
+        node = Node(settings, SystemClock())
         scope = trio.CancelScope()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_until_killed, node, scope)
--- /dev/null
+++ b/tests/field_faults/test_slow_link.py
@@ -0,0 +1,69 @@
+"""Nodes behind a small network link, through which a large answer of the store takes seconds."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import trio
+
+from bench.job_fleet import HOST, JobFleet, make_config, run_job_fleet
+from bench.ports import PORTS
+from comfreywind.settings.address import Address
+from tests.helpers.slow_link import SlowLink
+
+JOB = '00000000000000a1'
+LINK_BYTES_PER_S = 200_000
+# Encoded for the store, rules with so many queues take 3 s through the link: longer than a call to
+# the store may take without an answer.
+MANY_QUEUES = 2900
+TRANSFER_S = 3.0
+WAIT_LIMIT_S = 30.0
+
+
+def make_large_config(version: int, queues: int) -> dict[str, Any]:
+    """Return a configuration with the usual queue and further ones."""
+    config: dict[str, Any] = make_config(version)
+    usual = config['routes'][0]
+    config['routes'] = [
+        usual,
+        *({**usual, 'name': f'q-{number}', 'prefix': f'/q{number}/'} for number in range(queues)),
+    ]
+    return config
+
+
+@asynccontextmanager
+async def run_behind_link(fleet: JobFleet) -> AsyncIterator[tuple[int, SlowLink]]:
+    """Run one more node that reaches the store through a slow link; give its number and the link."""
+    link, address = (
+        SlowLink(fleet.store_address, LINK_BYTES_PER_S),
+        Address(HOST, PORTS.find_free()),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.serve, address)
+        async with fleet.run_node('behind-link', store_address=address) as node:
+            yield node, link
+        nursery.cancel_scope.cancel()
+
+
+async def wait_for_reply(fleet: JobFleet, node: int, path: str, status: int) -> float:
+    """Return after how many seconds the node has replied with the status."""
+    started_s = trio.current_time()
+    with trio.fail_after(WAIT_LIMIT_S):
+        while (await fleet.call(node, 'GET', path)).status != status:
+            await trio.sleep(0.05)
+    return trio.current_time() - started_s
+
+
+# Guards against a node that never again has the rules, and so serves no caller, once they have
+# grown so large that their transfer takes longer than the limit of a call (LOST on
+# villacres-quito-grown, long days with thousands of queues).
+async def test_rules_larger_than_call_limit() -> None:
+    """Has rules in force whose transfer takes 3 s, and transfers them once."""
+    async with run_job_fleet(node_count=0, target_count=1) as fleet:
+        async with run_behind_link(fleet) as (node, link):
+            assert await fleet.submit(node, JOB) == 200
+            before_bytes = link.passed_bytes
+            fleet.store.write_document('op', 'config', make_large_config(2, MANY_QUEUES))
+            await trio.sleep(TRANSFER_S)
+            assert await wait_for_reply(fleet, node, JOB, status=200) < TRANSFER_S
+            assert link.passed_bytes - before_bytes < 1.5 * TRANSFER_S * LINK_BYTES_PER_S
