Give a large answer of the store the time that it takes to arrive

The read was given up after 1.5 s and begun anew from its first byte, so it never ended, and its attempts filled the link for all other calls.

The time limit of a bulk read (pages of rows, feeds, the list of VMs) is now extended while parts of large answers of that service arrive. The end of an outage no longer abandons a call whose answer is arriving. A reading of the store's clock that took longer than a usual call is not used.

--- a/comfreywind/http/buffered_stream.py
+++ b/comfreywind/http/buffered_stream.py
@@ -1,6 +1,7 @@
 """TCP streams for httpcore that send a request's head and body at once."""
 
 import ssl
+from collections.abc import Callable
 from typing import Any
 
 import httpcore
@@ -13,13 +14,15 @@
     """Keeps what is written until an answer is read; the caller of httpcore bounds the time.
 
     httpcore writes the head and the body of a request one after the other, and reads only when the
-    request is complete. One packet costs both ends less than two.
+    request is complete. One packet costs both ends less than two. `note_received` is called with
+    the number of bytes that have arrived.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         """Use a connected stream."""
         self._stream = stream
         self._unsent = bytearray()
+        self.note_received: Callable[[int], None] | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send what was written and return what comes, empty at the end of the connection.
@@ -59,7 +62,10 @@
             unsent = bytes(self._unsent)
             self._unsent.clear()
             await self._stream.send_all(unsent)
-        return bytes(await self._stream.receive_some(max_bytes))
+        received = bytes(await self._stream.receive_some(max_bytes))
+        if self.note_received is not None:
+            self.note_received(len(received))
+        return received
 
 
 async def connect(address: Address) -> BufferedStream:
--- a/comfreywind/http/client.py
+++ b/comfreywind/http/client.py
@@ -2,21 +2,26 @@
 
 import gzip
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import httpcore
 import trio
 
+from comfreywind.decisions.transfer_limit import CallProgress
 from comfreywind.errors import CallNotPermittedError
-from comfreywind.http.buffered_stream import connect
+from comfreywind.http.buffered_stream import BufferedStream, connect
 from comfreywind.http.json_body import parse_json
+from comfreywind.http.transfer_watch import TransferWatch
 from comfreywind.settings.address import Address
 
 HeaderItems = list[tuple[bytes, bytes]]
 Permit = Callable[[], bool]
 _Send = Callable[[httpcore.AsyncHTTP11Connection], Awaitable[httpcore.Response]]
+_NoteReceived = Callable[[int], None]
 # Closing waits for nothing but the end of connections that may be silent.
 CLOSE_LIMIT_S = 1.0
 KEEP_IDLE_S = 30.0
@@ -43,12 +48,18 @@
         return parse_json(self.body)
 
 
+@dataclass(frozen=True, slots=True)
+class _Connection:
+    protocol: httpcore.AsyncHTTP11Connection
+    stream: BufferedStream
+
+
 @dataclass(slots=True)
 class _Pool:
     """Idle connections, how many calls there are now, and whether further calls may come."""
 
     slots: trio.Semaphore
-    idle: list[httpcore.AsyncHTTP11Connection] = field(default_factory=list)
+    idle: list[_Connection] = field(default_factory=list)
     calls: int = 0
     retired: bool = False
 
@@ -56,12 +67,19 @@
 class HttpClient:
     """Calls one address; each call has one total timeout.
 
-    After a timeout further calls use new connections, because one that has gone silent for good
+    With a watch, the timeout is extended while parts of large answers arrive. After a timeout further calls use new connections, because one that has gone silent for good
     would make them fail as well. Calls that are under way keep theirs: a slow service still answers.
     """
 
-    def __init__(self, address: Address, timeout_s: float, connection_limit: int = 16) -> None:
+    def __init__(
+        self,
+        address: Address,
+        timeout_s: float,
+        connection_limit: int = 16,
+        transfers: TransferWatch | None = None,
+    ) -> None:
         """Prepare a client; connections are opened when they are needed."""
+        self._transfers = transfers
         self._address = address
         self._origin = httpcore.Origin(b'http', address.host.encode(), address.port)
         self._timeout_s = timeout_s
@@ -76,13 +94,14 @@
         headers: HeaderItems | None = None,
         permit: Permit | None = None,
         raw_body: bytes = b'',
+        progress: CallProgress | None = None,
     ) -> HttpReply:
         """Return the reply; raise trio.TooSlowError or an httpcore error when there is none.
 
         A call may wait for a connection while its permission runs out, and the process may be
         paused meanwhile. So `permit` is asked once the connection is there, just before the call is
         sent; CallNotPermittedError is raised when it is False. The body is `document` as JSON, or
-        `raw_body` as it is.
+        `raw_body` as it is. `progress` tells meanwhile how far the answer has come.
         """
         body = raw_body if document is None else json.dumps(document).encode()
         all_headers = [*(headers or []), *COMMON_HEADERS]
@@ -91,12 +110,16 @@
         def send(connection: httpcore.AsyncHTTP11Connection) -> Awaitable[httpcore.Response]:
             return connection.request(method, url, headers=all_headers, content=body)
 
+        progress = progress or CallProgress()
+        progress.start(trio.current_time(), self._timeout_s, len(body))
         pool = self._pool
         pool.calls += 1
         try:
-            with trio.fail_after(self._timeout_s):
+            with self._limit_time(progress):
                 async with pool.slots:
-                    response = await self._exchange(pool, send, permit)
+                    response = await self._exchange(
+                        pool, send, permit, partial(self._note_received, progress)
+                    )
         except trio.TooSlowError:
             self._retire(pool)
             raise
@@ -114,21 +137,40 @@
         host, port = self._origin.host, self._origin.port
         return httpcore.URL(scheme=b'http', host=host, port=port, target=path.encode('ascii'))
 
-    async def _exchange(self, pool: _Pool, send: _Send, permit: Permit | None) -> httpcore.Response:
+    @contextmanager
+    def _limit_time(self, progress: CallProgress) -> Iterator[None]:
+        if self._transfers is None:
+            with trio.fail_after(self._timeout_s):
+                yield
+        else:
+            with self._transfers.follow(progress):
+                yield
+
+    def _note_received(self, progress: CallProgress, size_bytes: int) -> None:
+        is_part = progress.note_answer(size_bytes, trio.current_time())
+        if is_part and self._transfers is not None:
+            self._transfers.note_part()
+
+    async def _exchange(
+        self, pool: _Pool, send: _Send, permit: Permit | None, note_received: _NoteReceived
+    ) -> httpcore.Response:
         connection = await _take_idle(pool) or await self._connect()
+        protocol = connection.protocol
         if permit is not None and not permit():
-            await connection.aclose()
+            await protocol.aclose()
             raise CallNotPermittedError('the permission ended before the call was sent')
+        connection.stream.note_received = note_received
         try:
-            return await send(connection)
+            return await send(protocol)
         finally:
             # httpcore closes a connection on which a call has failed.
-            if connection.is_idle():
+            if protocol.is_idle():
                 pool.idle.append(connection)
 
-    async def _connect(self) -> httpcore.AsyncHTTP11Connection:
+    async def _connect(self) -> _Connection:
         stream = await connect(self._address)
-        return httpcore.AsyncHTTP11Connection(self._origin, stream, KEEP_IDLE_S)
+        protocol = httpcore.AsyncHTTP11Connection(self._origin, stream, KEEP_IDLE_S)
+        return _Connection(protocol, stream)
 
     def _retire(self, pool: _Pool) -> None:
         pool.retired = True
@@ -139,13 +181,13 @@
         return _Pool(trio.Semaphore(self._connection_limit))
 
 
-async def _take_idle(pool: _Pool) -> httpcore.AsyncHTTP11Connection | None:
+async def _take_idle(pool: _Pool) -> _Connection | None:
     """Return the connection used last, or None; those that the service has closed are dropped."""
     while pool.idle:
         connection = pool.idle.pop()
-        if not connection.has_expired():
+        if not connection.protocol.has_expired():
             return connection
-        await connection.aclose()
+        await connection.protocol.aclose()
     return None
 
 
@@ -158,7 +200,7 @@
 async def _close_idle(pool: _Pool) -> None:
     with trio.move_on_after(CLOSE_LIMIT_S, shield=True):
         while pool.idle:
-            await pool.idle.pop().aclose()
+            await pool.idle.pop().protocol.aclose()
 
 
 def _make_reply(response: httpcore.Response) -> HttpReply:
--- a/comfreywind/http/service_contact.py
+++ b/comfreywind/http/service_contact.py
@@ -19,14 +19,20 @@
 @dataclass(eq=False, slots=True)
 class _SentCall:
     sent_s: float
+    is_answered: Callable[[], bool]
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
+def _has_no_answer() -> bool:
+    return False
+
+
 class ServiceContact:
     """Follows the answers of one service, and ends calls that were sent into an outage.
 
     A call to a silent service is lost but fails only at its timeout. Once a later call is answered,
-    calls that were sent before it are abandoned, so that their callers can repeat them at once.
+    calls that were sent before it are abandoned, so that their callers can repeat them at once. A
+    call whose answer is arriving is not lost, and goes on.
     Times in seconds are on the steady clock.
     """
 
@@ -63,9 +69,16 @@
         if not self.reachable:
             await self._returned.wait()
 
-    async def follow(self, call: Callable[[], Awaitable[Answer]]) -> Answer:
-        """Make a call; raise CallAbandonedError if it is still open at the end of an outage."""
-        sent = _SentCall(self._clock.read_monotonic_s())
+    async def follow(
+        self,
+        call: Callable[[], Awaitable[Answer]],
+        is_answered: Callable[[], bool] | None = None,
+    ) -> Answer:
+        """Make a call; raise CallAbandonedError if it has no answer at the end of an outage.
+
+        `is_answered` tells whether the answer has begun to arrive.
+        """
+        sent = _SentCall(self._clock.read_monotonic_s(), is_answered or _has_no_answer)
         self._in_flight.add(sent)
         try:
             with sent.scope:
@@ -94,7 +107,11 @@
 
     def _end_outage(self, lost_s: float, sent_s: float) -> None:
         now_s = self._clock.read_monotonic_s()
-        abandoned = [call for call in self._in_flight if self._is_silent and call.sent_s < sent_s]
+        abandoned = [
+            call
+            for call in self._in_flight
+            if self._is_silent and call.sent_s < sent_s and not call.is_answered()
+        ]
         log.info(
             '%s within reach again after %.2f s; calls abandoned: %d',
             self._name,
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -10,6 +10,7 @@
 import trio
 
 from comfreywind.clock import Clock
+from comfreywind.decisions.transfer_limit import CallProgress
 from comfreywind.errors import (
     CallAbandonedError,
     CallNotPermittedError,
@@ -22,6 +23,7 @@
 )
 from comfreywind.http.client import HttpClient, HttpReply, Permit
 from comfreywind.http.service_contact import ServiceContact
+from comfreywind.http.transfer_watch import TransferWatch
 from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.concurrent_calls import run_concurrently
 from comfreywind.platform.store_call import CALL_FAILURES, DECODING_ERRORS
@@ -29,7 +31,8 @@
 from comfreywind.platform.stored_row import RowChange, RowPage, StoredRow
 from comfreywind.settings.address import Address
 
-# A store that is 100 times slower than usual takes about a second for a transaction.
+# Limit of a call while no large answer is arriving. A store that is 100 times slower than usual takes
+# about a second for a transaction.
 CALL_TIMEOUT_S = 1.5
 # Added to the longest wait of a feed read, for the network and a slow store.
 FEED_MARGIN_S = 1.5
@@ -62,8 +65,9 @@
         Feeds have a client of their own, with a longer timeout.
         """
         self._metrics = metrics or NoMetrics()
-        self._client = HttpClient(address, CALL_TIMEOUT_S, CONNECTION_LIMIT)
-        self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S)
+        transfers = TransferWatch()
+        self._client = HttpClient(address, CALL_TIMEOUT_S, CONNECTION_LIMIT, transfers)
+        self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S, transfers=transfers)
         self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
         self._clock = clock
         self._store_time: StoreTime | None = None
@@ -96,7 +100,9 @@
         """
         transaction = _encode_changes(partition, changes)
         sent_s = self._clock.read_monotonic_s()
-        status, document = await self._call('POST', '/v1/rows-tx', transaction, permit)
+        status, document = await self._call(
+            CallProgress(), 'POST', '/v1/rows-tx', transaction, permit
+        )
         self.commit_took_s = self._clock.read_monotonic_s() - sent_s
         if status == STATUS_CONFLICT:
             raise RowsChangedError(_read_rows(document))
@@ -105,7 +111,7 @@
     async def read_row(self, table: str, partition: str, key: str) -> StoredRow:
         """Return the row, with version 0 when it does not exist."""
         bounds = f'&from={quote(key, safe="")}&to={quote(key, safe="")}%00&limit=1'
-        page = await self._read_page(table, partition, bounds)
+        page = _decode_page(await self._read_document(table, partition, bounds, CallProgress()))
         if page.rows:
             return page.rows[0]
         return StoredRow(table, partition, key, None, 0)
@@ -137,7 +143,9 @@
         start, has_more = quote(prefix, safe=''), True
         while has_more:
             bounds = f'&from={start}&to={end}&limit={PAGE_ROWS}'
-            document = await self._read_document(table, partition, bounds)
+            document = await self._read_document(
+                table, partition, bounds, CallProgress(is_bulk_read=True)
+            )
             with _wrap_decoding_errors():
                 page = {str(row['key']): int(row.get('schema_ver', 0)) for row in document['rows']}
             versions.update(page)
@@ -163,7 +171,9 @@
         when the store has dropped the history after that version.
         """
         path = _make_feed_path(table, after_version, self._feed_wait_ms)
-        return _decode_changes(await self._call_followed(self._feed_client, 'GET', path))
+        progress = CallProgress(is_bulk_read=True)
+        reply = await self._call_followed(self._feed_client, progress, 'GET', path)
+        return _decode_changes(reply)
 
     async def read_changes_now(self, table: str, after_version: int) -> RowPage:
         """Return the rows that changed after the version, without waiting for a change.
@@ -171,23 +181,31 @@
         Raises HistoryLostError as `read_changes` does.
         """
         path = _make_feed_path(table, after_version, 0)
-        return _decode_changes(await self._exchange('GET', path, None, None))
+        return _decode_changes(await self._exchange(CallProgress(is_bulk_read=True), 'GET', path))
 
     async def _read_page(self, table: str, partition: str, bounds: str) -> RowPage:
-        return _decode_page(await self._read_document(table, partition, bounds))
+        progress = CallProgress(is_bulk_read=True)
+        return _decode_page(await self._read_document(table, partition, bounds, progress))
 
-    async def _read_document(self, table: str, partition: str, bounds: str) -> dict[str, Any]:
+    async def _read_document(
+        self, table: str, partition: str, bounds: str, progress: CallProgress
+    ) -> dict[str, Any]:
         query = f'table_name={quote(table, safe="")}&part={quote(partition, safe="")}{bounds}'
-        _, document = await self._call('GET', f'/v1/rows-get?{query}')
+        _, document = await self._call(progress, 'GET', f'/v1/rows-get?{query}')
         return document
 
     async def _call(
-        self, method: str, path: str, request: object | None = None, permit: Permit | None = None
+        self,
+        progress: CallProgress,
+        method: str,
+        path: str,
+        request: object | None = None,
+        permit: Permit | None = None,
     ) -> tuple[int, dict[str, Any]]:
         """Return the status (200 or 412) and the document of the reply, and record metrics."""
         sent_s = self._clock.read_monotonic_s()
         try:
-            reply = await self._exchange(method, path, request, permit)
+            reply = await self._exchange(progress, method, path, request, permit)
         except StoreUnavailableError:
             self._metrics.count('store_calls.unanswered')
             raise
@@ -195,16 +213,22 @@
         self._metrics.record_duration(f'store_calls.{method}', duration_s)
         self._metrics.count(f'store_calls.{reply.status}')
         document = _read_document(reply)
-        if reply.status == STATUS_OK:
+        # A reading of the store's clock is as inexact as its call was long.
+        if reply.status == STATUS_OK and duration_s <= CALL_TIMEOUT_S:
             self._update_store_time(document, sent_s)
         return reply.status, document
 
     async def _exchange(
-        self, method: str, path: str, request: object | None, permit: Permit | None
+        self,
+        progress: CallProgress,
+        method: str,
+        path: str,
+        request: object | None = None,
+        permit: Permit | None = None,
     ) -> HttpReply:
         sent_s = self._clock.read_monotonic_s()
         try:
-            reply = await self._call_followed(self._client, method, path, request, permit)
+            reply = await self._call_followed(self._client, progress, method, path, request, permit)
         except (StoreRefusedError, StoreCallLostError):
             # The call was not sent, or its outcome says nothing of the store as it is now.
             raise
@@ -221,13 +245,15 @@
     async def _call_followed(
         self,
         client: HttpClient,
+        progress: CallProgress,
         method: str,
         path: str,
         request: object | None = None,
         permit: Permit | None = None,
     ) -> HttpReply:
+        call = partial(_call, client, method, path, request, permit, progress)
         try:
-            return await self.contact.follow(partial(_call, client, method, path, request, permit))
+            return await self.contact.follow(call, lambda: progress.answered_bytes > 0)
         except CallAbandonedError as error:
             raise StoreCallLostError(f'{method} {path[:60]}: no reply: {error}') from error
 
@@ -243,9 +269,10 @@
     path: str,
     document: object | None = None,
     permit: Permit | None = None,
+    progress: CallProgress | None = None,
 ) -> HttpReply:
     try:
-        return await client.call(method, path, document, permit=permit)
+        return await client.call(method, path, document, permit=permit, progress=progress)
     except CallNotPermittedError as error:
         raise StoreRefusedError(f'{method} {path[:60]}: {error}') from error
     except CALL_FAILURES as error:
--- a/comfreywind/platform/vm_client.py
+++ b/comfreywind/platform/vm_client.py
@@ -7,8 +7,10 @@
 from typing import Any
 from urllib.parse import quote
 
+from comfreywind.decisions.transfer_limit import CallProgress
 from comfreywind.errors import CallNotPermittedError, StoreUnavailableError
 from comfreywind.http.client import HttpClient
+from comfreywind.http.transfer_watch import TransferWatch
 from comfreywind.jobs.vm import Vm
 from comfreywind.jobs.vm_list import VmList
 from comfreywind.platform.amounts import Capacity
@@ -44,7 +46,7 @@
     def __init__(self, address: Address, permit: VmPermit) -> None:
         """Prepare a client; orders are sent only if `permit` returns True for their VM."""
         self._permit = permit
-        self._client = HttpClient(address, CALL_TIMEOUT_S, 4)
+        self._client = HttpClient(address, CALL_TIMEOUT_S, 4, TransferWatch())
 
     async def read_vms(self) -> VmList:
         """Return all VMs; raise StoreUnavailableError when the list can't be read."""
@@ -68,7 +70,7 @@
     async def _read_page(self, path: str) -> tuple[list[Vm | None], str | None]:
         """Return the VMs of a page and the token of the next one; None stands for odd VMs."""
         try:
-            reply = await self._client.call('GET', path)
+            reply = await self._client.call('GET', path, progress=CallProgress(is_bulk_read=True))
         except CALL_FAILURES as error:
             raise StoreUnavailableError(f'list of VMs: no reply: {error!r}') from error
         if reply.status != STATUS_OK:
--- a/tests/test_service_contact.py
+++ b/tests/test_service_contact.py
@@ -48,6 +48,28 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a large answer that is given up and begun anew because a small call beside it was
+# answered first after an outage.
+async def test_arriving_answer_is_not_abandoned(autojump_clock: trio.testing.MockClock) -> None:
+    """Lets a call go on whose answer is arriving at the end of an outage."""
+    contact = make_contact()
+    answers: list[str] = []
+
+    async def receive() -> str:
+        await trio.sleep(2)
+        return 'whole'
+
+    async def follow() -> None:
+        answers.append(await contact.follow(receive, lambda: True))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follow)
+        await trio.sleep(1)
+        contact.record_failure(trio.current_time(), 'no reply', silent=True)
+        contact.record_answer(trio.current_time())
+    assert answers == ['whole']
+
+
 async def test_late_failure_starts_no_outage(autojump_clock: trio.testing.MockClock) -> None:
     """Ignores the failure of a call that was sent before one that the service has answered."""
     contact = make_contact()
