Use rules as long as the operator allows, and confirm them at once after a slow read

So a node behind a small link was not ready, and handed all calls over, in each transfer of large rules. The limit is now the allowed time less 0.1 s.

--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -64,7 +64,9 @@
         self._clock = clock
         self._metrics = ExposedMetrics()
         self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock, self._metrics)
-        self._rules = RulesFollower(self._rows, clock, self._metrics)
+        self._rules = RulesFollower(
+            self._rows, clock, self._metrics, settings.timings.rules_apply_s
+        )
         self._keeper = TermKeeper(self._rows, settings.name, clock, settings.cores)
         self._probe = ServiceProbe(
             self._rows.contact,
--- a/comfreywind/scheduling/row_feed.py
+++ b/comfreywind/scheduling/row_feed.py
@@ -15,6 +15,8 @@
 RETRY_S = 0.05
 # Upper bound of the pause between attempts while the store is out of reach; its return ends a pause.
 OUTAGE_RETRY_S = 1.0
+# A read that took longer, and had changes, is followed by one that doesn't wait for a change.
+SLOW_READ_S = 1.0
 
 log = logging.getLogger('comfreywind.feed')
 
@@ -52,7 +54,7 @@
         self._handle_row = handle_row
         self._handle_snapshot = handle_snapshot
         self._clock = clock
-        self._failed = False
+        self._is_late = False
         self.confirmed_s: float | None = None
         self.loaded = trio.Event()
 
@@ -68,10 +70,8 @@
             except StoreUnavailableError as error:
                 log.info('table %s not read, trying again: %s', self._table, error)
                 self._metrics.count(f'feeds.{self._table}.unread')
-                self._failed = True
+                self._is_late = True
                 await self._pause()
-            else:
-                self._failed = False
 
     async def _pause(self) -> None:
         await trio.sleep(RETRY_S)
@@ -82,7 +82,7 @@
         requested_s = self._clock.read_monotonic_s()
         if version is None:
             return await self._read_snapshot(requested_s)
-        if self._failed:
+        if self._is_late:
             # A read that waits for a change would confirm what is known only at its end.
             page = await self._rows.read_changes_now(self._table, version)
             return self._apply_changes(page, requested_s)
@@ -94,9 +94,13 @@
     def _apply_changes(self, page: RowPage, confirmed_s: float) -> int:
         for row in page.rows:
             self._deliver(row)
-        self.confirmed_s = confirmed_s
+        self._confirm(confirmed_s)
         return page.version
 
+    def _confirm(self, confirmed_s: float) -> None:
+        self.confirmed_s = confirmed_s
+        self._is_late = self._clock.read_monotonic_s() - confirmed_s > SLOW_READ_S
+
     def _deliver(self, row: StoredRow) -> None:
         try:
             self._handle_row(row)
@@ -116,6 +120,6 @@
             self._handle_snapshot(tuple(rows))
         for row in rows:
             self._deliver(row)
-        self.confirmed_s = requested_s
+        self._confirm(requested_s)
         self.loaded.set()
         return min(versions)
--- a/comfreywind/scheduling/rules_follower.py
+++ b/comfreywind/scheduling/rules_follower.py
@@ -20,9 +20,9 @@
 )
 from comfreywind.scheduling.row_feed import RowFeed
 
-# A feed request waits up to 0.7 s, so a change is known well within the 2 s that the users allow.
-# Beyond this age without a confirmation, the rules may be out of date.
-STALE_S = 1.9
+# A feed request waits up to 0.7 s, so a change is known well within the 2 s that the users allow at
+# least. Rules that were not confirmed for that time, less this margin, may be out of date.
+STALE_MARGIN_S = 0.1
 
 log = logging.getLogger('comfreywind.rules')
 
@@ -30,8 +30,18 @@
 class RulesFollower:
     """Owns the node's rules and waves; an older version of the rules never replaces a newer one."""
 
-    def __init__(self, rows: RowsClient, clock: Clock, metrics: Metrics | None = None) -> None:
-        """Read the operator's table with the store's client."""
+    def __init__(
+        self,
+        rows: RowsClient,
+        clock: Clock,
+        metrics: Metrics | None = None,
+        apply_limit_s: float = 2,
+    ) -> None:
+        """Read the operator's table with the store's client.
+
+        Earlier rules may be used for `apply_limit_s` after a change.
+        """
+        self._stale_s = apply_limit_s - STALE_MARGIN_S
         self._clock = clock
         self._metrics = metrics or NoMetrics()
         self._feed = RowFeed(
@@ -51,11 +61,11 @@
         await self._feed.loaded.wait()
 
     def is_fresh(self) -> bool:
-        """Return whether the rules are known and were confirmed less than `STALE_S` ago."""
+        """Return whether the rules are known and may still be used."""
         confirmed_s = self._feed.confirmed_s
         if self.rules is None or confirmed_s is None:
             return False
-        return self._clock.read_monotonic_s() - confirmed_s < STALE_S
+        return self._clock.read_monotonic_s() - confirmed_s < self._stale_s
 
     def get_wave_end_s(self, wave: int) -> float:
         """Return when the wave should be complete, counted from when this node first read it."""
--- a/tests/field_faults/test_slow_link.py
+++ b/tests/field_faults/test_slow_link.py
@@ -8,6 +8,7 @@
 
 from bench.job_fleet import HOST, JobFleet, make_config, run_job_fleet
 from bench.ports import PORTS
+from comfreywind.node.run import FEED_WAIT_S
 from comfreywind.settings.address import Address
 from tests.helpers.slow_link import SlowLink
 
@@ -67,3 +68,18 @@
             await trio.sleep(TRANSFER_S)
             assert await wait_for_reply(fleet, node, JOB, status=200) < TRANSFER_S
             assert link.passed_bytes - before_bytes < 1.5 * TRANSFER_S * LINK_BYTES_PER_S
+
+
+async def test_rules_usable_after_slow_read() -> None:
+    """Uses rules right after a slow read, although a change may have come during it.
+
+    The next read tells at once, instead of waiting for a change, that there was none.
+    """
+    async with run_job_fleet(node_count=0, target_count=1) as fleet:
+        async with run_behind_link(fleet) as (node, link):
+            fleet.store.write_document('op', 'config', make_large_config(2, MANY_QUEUES))
+            await wait_for_reply(fleet, node, JOB, status=503)
+            whole_bytes = TRANSFER_S * LINK_BYTES_PER_S
+            while link.passed_bytes < whole_bytes:
+                await trio.sleep(0.02)
+            assert await wait_for_reply(fleet, node, JOB, status=410) < FEED_WAIT_S
