--- a/tests/field_faults/test_slow_link.py
+++ b/tests/field_faults/test_slow_link.py
@@ -1,15 +1,23 @@
 """Nodes behind a small network link, through which a large answer of the store takes seconds."""
 
+import base64
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import trio
 
 from bench.job_fleet import HOST, JobFleet, make_config, run_job_fleet
 from bench.ports import PORTS
+from comfreywind.decisions.scheduling.fences import FENCES_PER_TERM
+from comfreywind.jobs.job_codec import encode_job
+from comfreywind.jobs.resources import Resources
+from comfreywind.jobs.step import Step
+from comfreywind.jobs.tables import TABLE_INTAKE, compute_intake_partition
 from comfreywind.node.run import FEED_WAIT_S
 from comfreywind.settings.address import Address
+from tests.helpers.scheduler_harness import make_job
 from tests.helpers.slow_link import SlowLink
 
 JOB = '00000000000000a1'
@@ -19,6 +27,9 @@
 MANY_QUEUES = 2900
 TRANSFER_S = 3.0
 WAIT_LIMIT_S = 30.0
+# Encoded for the store, these take 5 s through the link.
+STORED_JOBS = 480
+LARGE_JOB = make_job(Step(1, Resources(100), estimate_ms=100), spec='x' * 1500)
 
 
 def make_large_config(version: int, queues: int) -> dict[str, Any]:
@@ -32,6 +43,18 @@
     return config
 
 
+def store_jobs(fleet: JobFleet, count: int) -> int:
+    """Store accepted jobs; return how many bytes they take in an answer, without their names."""
+    stored_bytes = 0
+    for number in range(count):
+        job = replace(LARGE_JOB, job_id=f'{number:016x}')
+        encoded = base64.b64encode(encode_job(job)).decode()
+        stored_bytes += len(encoded)
+        partition = compute_intake_partition(job.job_id)
+        fleet.store.store.apply([], [(TABLE_INTAKE, partition, job.job_id, encoded)])
+    return stored_bytes
+
+
 @asynccontextmanager
 async def run_behind_link(fleet: JobFleet) -> AsyncIterator[tuple[int, SlowLink]]:
     """Run one more node that reaches the store through a slow link; give its number and the link."""
@@ -83,3 +106,16 @@
             while link.passed_bytes < whole_bytes:
                 await trio.sleep(0.02)
             assert await wait_for_reply(fleet, node, JOB, status=410) < FEED_WAIT_S
+
+
+# Guards against a node that takes the term and never loads the jobs, because reading all of them
+# takes its link longer than one call may take: nothing is scheduled while it renews the term.
+async def test_holder_loads_jobs_behind_small_link() -> None:
+    """Loads jobs whose transfer takes 5 s in one reading, and holds the term meanwhile."""
+    async with run_job_fleet(node_count=0, target_count=1) as fleet:
+        stored_bytes = store_jobs(fleet, STORED_JOBS)
+        async with run_behind_link(fleet) as (node, link):
+            await trio.sleep(stored_bytes / LINK_BYTES_PER_S)
+            await fleet.wait_for_state(node, f'{STORED_JOBS - 1:016x}', 'complete')
+            assert link.passed_bytes < 1.5 * stored_bytes
+            assert fleet.targets[0].fence < 2 * FENCES_PER_TERM
