Let a bulk read go on by its own progress, and limit their number by the link

The time limits of all bulk reads were extended while any of them made progress.

A bulk read is now extended by parts of its own answer only, has connections of its own, and waits for its turn before its time begins. The node's setting link_mbps limits how many are open to what half a second of the link carries: 4 on 5 Mbit/s, 48 from 100 Mbit/s on. A partition that can't be read is read again by itself. Requests above 16 KB get the time that a quarter of the slowest link needs for them. The shared TransferWatch is gone.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import trio
@@ -27,6 +27,7 @@
 # Callers, readiness, metrics and other nodes.
 PORTS_PER_NODE = 4
 WAIT_LIMIT_S = 20.0
+LOOPBACK_MBPS = 1000.0
 UNKNOWN_JOB_ID = 'f' * 16
 STATUS_GONE = 410
 
@@ -81,15 +82,16 @@
         name: str,
         metrics_address: Address | None = None,
         store_address: Address | None = None,
+        link_mbps: float = LOOPBACK_MBPS,
     ) -> AsyncIterator[int]:
         """Run one more node until the block is left; give its number for calls.
 
-        It calls the store at the given address, which may be that of a relay.
+        It calls the store at the given address, which may be that of a relay with a slower link.
         """
         ports = [Address(HOST, PORTS.find_free()) for _ in range(PORTS_PER_NODE)]
         ports[2] = metrics_address or ports[2]
         settings = make_settings(name, ports, store_address or self.store_address)
-        node = Node(settings, SystemClock())
+        node = Node(replace(settings, link_mbps=link_mbps), SystemClock())
         scope = trio.CancelScope()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_until_killed, node, scope)
--- a/comfreywind/decisions/transfer_limit.py
+++ b/comfreywind/decisions/transfer_limit.py
@@ -1,57 +1,49 @@
-"""Until when a call may go on whose answer may be large, or waits for others on a full link."""
+"""How long a call to a service may take whose request or answer may be large."""
 
 from dataclasses import dataclass
 
-# Of a larger answer each further part of this size is progress. A smaller answer has to arrive
-# within the call's own time limit.
+# Each further part of this size of a large answer is progress. A smaller answer, or request, has to
+# pass within the call's own timeout.
 PART_BYTES = 16_384
-# A call is given up after this time without progress of its own, even while other answers arrive:
-# its connection may have gone silent for good.
-SILENCE_LIMIT_S = 5.0
-# A request may take half of the slowest link, 5 Mbit/s; the other half is for other traffic.
-SENDING_BYTES_PER_S = 312_500
+# A quarter of the slowest link, 5 Mbit/s: that many transactions may be sent at the same time.
+SENDING_BYTES_PER_S = 156_250
+# Answers that have been asked for together arrive in one go, and other calls wait behind them for
+# no longer than this.
+LINK_WAIT_S = 0.5
+WINDOW_BYTES = 65_536
+LEAST_BULK_READS, MOST_BULK_READS = 4, 48
+BYTES_PER_MBIT = 125_000
 
 
 @dataclass(slots=True)
 class CallProgress:
-    """How far the answer to a call has come.
+    """How far the answer to one call has come, and until when it may take.
 
-    `answered_bytes` is what has arrived of the answer; the other fields are for its time limit,
-    which is fixed unless the call is a bulk read. Times are in seconds on the same steady clock.
+    The answer to a bulk read may be large: its deadline moves on with each part that arrives. That
+    of any other call is fixed. Times are in seconds on one steady clock.
     """
 
     is_bulk_read: bool = False
     answered_bytes: int = 0
-    started_s: float = 0
     timeout_s: float = 0
-    parts: int = 0
-    progress_s: float = 0
+    deadline_s: float = 0
 
     def start(self, now_s: float, timeout_s: float, request_bytes: int) -> None:
-        """Start the time limit of a call that sends a request of this size."""
-        self.started_s = now_s
-        self.progress_s = now_s
-        self.timeout_s = timeout_s + request_bytes / SENDING_BYTES_PER_S
-
-    def note_answer(self, size_bytes: int, now_s: float) -> bool:
-        """Note further bytes of the answer; return whether they complete a part of a large one."""
+        """Start the time of a call that sends a request of this size."""
+        excess_bytes = max(request_bytes - PART_BYTES, 0)
+        self.answered_bytes = 0
+        self.timeout_s = timeout_s
+        self.deadline_s = now_s + timeout_s + excess_bytes / SENDING_BYTES_PER_S
+
+    def note_answer(self, size_bytes: int, now_s: float) -> None:
+        """Note further bytes of the answer."""
+        parts_before = self.answered_bytes // PART_BYTES
         self.answered_bytes += size_bytes
-        parts = self.answered_bytes // PART_BYTES
-        has_progress = parts > self.parts
-        if has_progress:
-            self.parts = parts
-            self.progress_s = now_s
-        return has_progress
-
+        if self.is_bulk_read and self.answered_bytes // PART_BYTES > parts_before:
+            self.deadline_s = max(self.deadline_s, now_s + self.timeout_s)
 
-def compute_deadline_s(call: CallProgress, last_part_s: float | None) -> float:
-    """Return when to give the call up.
 
-    `last_part_s` is when the last part of any large answer of the service arrived, or None. While
-    such parts arrive, an answer that is still missing waits for its turn on the link.
-    """
-    own_s = call.started_s + call.timeout_s
-    if last_part_s is None or not call.is_bulk_read:
-        return own_s
-    busy_s = min(last_part_s + call.timeout_s, call.progress_s + SILENCE_LIMIT_S)
-    return max(own_s, busy_s)
+def choose_bulk_reads(link_mbps: float) -> int:
+    """Return how many bulk reads a node with this link may have open at the same time."""
+    reads = int(link_mbps * BYTES_PER_MBIT * LINK_WAIT_S / WINDOW_BYTES)
+    return max(LEAST_BULK_READS, min(reads, MOST_BULK_READS))
--- a/comfreywind/http/client.py
+++ b/comfreywind/http/client.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from functools import partial
 from typing import Any
 
 import httpcore
@@ -15,7 +14,6 @@
 from comfreywind.errors import CallNotPermittedError
 from comfreywind.http.buffered_stream import BufferedStream, connect
 from comfreywind.http.json_body import parse_json
-from comfreywind.http.transfer_watch import TransferWatch
 from comfreywind.settings.address import Address
 
 HeaderItems = list[tuple[bytes, bytes]]
@@ -67,19 +65,13 @@
 class HttpClient:
     """Calls one address; each call has one total timeout.
 
-    With a watch, the timeout is extended while parts of large answers arrive. After a timeout further calls use new connections, because one that has gone silent for good
-    would make them fail as well. Calls that are under way keep theirs: a slow service still answers.
+    The timeout of a bulk read begins anew with each part of its answer. After a timeout further
+    calls use new connections, because one that has gone silent for good would make them fail as
+    well. Calls that are under way keep theirs: a slow service still answers.
     """
 
-    def __init__(
-        self,
-        address: Address,
-        timeout_s: float,
-        connection_limit: int = 16,
-        transfers: TransferWatch | None = None,
-    ) -> None:
+    def __init__(self, address: Address, timeout_s: float, connection_limit: int = 16) -> None:
         """Prepare a client; connections are opened when they are needed."""
-        self._transfers = transfers
         self._address = address
         self._origin = httpcore.Origin(b'http', address.host.encode(), address.port)
         self._timeout_s = timeout_s
@@ -101,7 +93,8 @@
         A call may wait for a connection while its permission runs out, and the process may be
         paused meanwhile. So `permit` is asked once the connection is there, just before the call is
         sent; CallNotPermittedError is raised when it is False. The body is `document` as JSON, or
-        `raw_body` as it is. `progress` tells meanwhile how far the answer has come.
+        `raw_body` as it is. `progress` tells meanwhile how far the answer has come, and whether the
+        call is a bulk read.
         """
         body = raw_body if document is None else json.dumps(document).encode()
         all_headers = [*(headers or []), *COMMON_HEADERS]
@@ -115,11 +108,9 @@
         pool = self._pool
         pool.calls += 1
         try:
-            with self._limit_time(progress):
+            with _limit_time(progress) as note_received:
                 async with pool.slots:
-                    response = await self._exchange(
-                        pool, send, permit, partial(self._note_received, progress)
-                    )
+                    response = await self._exchange(pool, send, permit, note_received)
         except trio.TooSlowError:
             self._retire(pool)
             raise
@@ -137,20 +128,6 @@
         host, port = self._origin.host, self._origin.port
         return httpcore.URL(scheme=b'http', host=host, port=port, target=path.encode('ascii'))
 
-    @contextmanager
-    def _limit_time(self, progress: CallProgress) -> Iterator[None]:
-        if self._transfers is None:
-            with trio.fail_after(self._timeout_s):
-                yield
-        else:
-            with self._transfers.follow(progress):
-                yield
-
-    def _note_received(self, progress: CallProgress, size_bytes: int) -> None:
-        is_part = progress.note_answer(size_bytes, trio.current_time())
-        if is_part and self._transfers is not None:
-            self._transfers.note_part()
-
     async def _exchange(
         self, pool: _Pool, send: _Send, permit: Permit | None, note_received: _NoteReceived
     ) -> httpcore.Response:
@@ -181,6 +158,21 @@
         return _Pool(trio.Semaphore(self._connection_limit))
 
 
+@contextmanager
+def _limit_time(progress: CallProgress) -> Iterator[_NoteReceived]:
+    """Raise trio.TooSlowError at the deadline; give what to call for the bytes of the answer."""
+    scope = trio.CancelScope(deadline=progress.deadline_s)
+
+    def note_received(size_bytes: int) -> None:
+        progress.note_answer(size_bytes, trio.current_time())
+        scope.deadline = progress.deadline_s
+
+    with scope:
+        yield note_received
+    if scope.cancelled_caught:
+        raise trio.TooSlowError
+
+
 async def _take_idle(pool: _Pool) -> _Connection | None:
     """Return the connection used last, or None; those that the service has closed are dropped."""
     while pool.idle:
--- a/comfreywind/node/run.py
+++ b/comfreywind/node/run.py
@@ -17,6 +17,7 @@
     READINESS,
     derive_budget,
 )
+from comfreywind.decisions.transfer_limit import choose_bulk_reads
 from comfreywind.exposed_metrics import ExposedMetrics
 from comfreywind.http.client_limits import ClientLimits
 from comfreywind.http.server import serve_app
@@ -63,7 +64,13 @@
         self._settings = settings
         self._clock = clock
         self._metrics = ExposedMetrics()
-        self._rows = RowsClient(settings.store_address, FEED_WAIT_S, clock, self._metrics)
+        self._rows = RowsClient(
+            settings.store_address,
+            FEED_WAIT_S,
+            clock,
+            self._metrics,
+            choose_bulk_reads(settings.link_mbps),
+        )
         self._rules = RulesFollower(
             self._rows, clock, self._metrics, settings.timings.rules_apply_s
         )
--- a/comfreywind/platform/node_file.py
+++ b/comfreywind/platform/node_file.py
@@ -29,6 +29,7 @@
     memory_mb: int = 300
     # Most descriptors that the node may have open.
     max_fds: int = 4100
+    link_mbps: float = 1000
     # Fraction of the VM's processor that the node may use.
     cpu_quota: float = 1
     # Speed of that processor as a multiple of a usual core.
@@ -103,6 +104,7 @@
         vm_orders_per_s=cloud.duty_per_s if cloud else 0,
         memory_mb=node_file.limits.memory_mb,
         max_fds=node_file.limits.max_fds,
+        link_mbps=node_file.limits.link_mbps,
         cores=node_file.limits.cpu_quota * node_file.limits.cores,
         peer_address=_choose_peer_address(node_file),
     )
--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import logging
 from collections.abc import Iterable, Iterator, Sequence
 from functools import partial
 from typing import Any
@@ -10,7 +11,7 @@
 import trio
 
 from comfreywind.clock import Clock
-from comfreywind.decisions.transfer_limit import CallProgress
+from comfreywind.decisions.transfer_limit import MOST_BULK_READS, CallProgress
 from comfreywind.errors import (
     CallAbandonedError,
     CallNotPermittedError,
@@ -23,7 +24,6 @@
 )
 from comfreywind.http.client import HttpClient, HttpReply, Permit
 from comfreywind.http.service_contact import ServiceContact
-from comfreywind.http.transfer_watch import TransferWatch
 from comfreywind.metrics import Metrics, NoMetrics
 from comfreywind.platform.concurrent_calls import run_concurrently
 from comfreywind.platform.store_call import CALL_FAILURES, DECODING_ERRORS
@@ -31,14 +31,15 @@
 from comfreywind.platform.stored_row import RowChange, RowPage, StoredRow
 from comfreywind.settings.address import Address
 
-# Limit of a call while no large answer is arriving. A store that is 100 times slower than usual takes
-# about a second for a transaction.
+# A store that is 100 times slower than usual takes about a second for a transaction.
 CALL_TIMEOUT_S = 1.5
 # Added to the longest wait of a feed read, for the network and a slow store.
 FEED_MARGIN_S = 1.5
 PAGE_ROWS = 500
-# A new holder reads all partitions of its tables concurrently.
+# Connections for small calls, which bulk reads must not keep from the store.
 CONNECTION_LIMIT = 48
+PARTITION_ATTEMPTS = 3
+PARTITION_RETRY_S = 0.05
 MS_PER_S = 1000
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -49,6 +50,9 @@
 STATUSES_REJECTED = frozenset((400, 413))
 
 
+log = logging.getLogger('comfreywind.store')
+
+
 class RowsClient:
     """Reads rows and changes, and commits transactions.
 
@@ -57,17 +61,25 @@
     """
 
     def __init__(
-        self, address: Address, feed_wait_s: float, clock: Clock, metrics: Metrics | None = None
+        self,
+        address: Address,
+        feed_wait_s: float,
+        clock: Clock,
+        metrics: Metrics | None = None,
+        bulk_reads: int = MOST_BULK_READS,
     ) -> None:
         """Prepare clients of the address; a read of a feed waits up to `feed_wait_s` for changes.
 
-        `commit_took_s` is how long the last transaction took that was answered.
-        Feeds have a client of their own, with a longer timeout.
+        `commit_took_s` is how long the last transaction took that was answered. Feeds have a client
+        of their own, with a longer timeout, and so have bulk reads, of which `bulk_reads` at a time
+        are open.
         """
+        self.feed_wait_s = feed_wait_s
         self._metrics = metrics or NoMetrics()
-        transfers = TransferWatch()
-        self._client = HttpClient(address, CALL_TIMEOUT_S, CONNECTION_LIMIT, transfers)
-        self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S, transfers=transfers)
+        self._client = HttpClient(address, CALL_TIMEOUT_S, CONNECTION_LIMIT)
+        self._bulk_client = HttpClient(address, CALL_TIMEOUT_S, MOST_BULK_READS)
+        self._bulk_slots = trio.Semaphore(bulk_reads)
+        self._feed_client = HttpClient(address, feed_wait_s + FEED_MARGIN_S)
         self._feed_wait_ms = int(feed_wait_s * MS_PER_S)
         self._clock = clock
         self._store_time: StoreTime | None = None
@@ -154,11 +166,14 @@
         return versions
 
     async def read_partitions(self, table: str, partitions: Iterable[str]) -> list[RowPage]:
-        """Return all rows of each partition in the given order, read concurrently."""
+        """Return all rows of each partition in the given order, read concurrently.
+
+        A partition that can't be read is read again, so that the others are not read for nothing.
+        """
         pages: dict[str, RowPage] = {}
 
         async def read(partition: str) -> None:
-            pages[partition] = await self.read_partition(table, partition)
+            pages[partition] = await self._read_repeatedly(table, partition)
 
         names = tuple(partitions)
         await run_concurrently([partial(read, partition) for partition in names])
@@ -183,9 +198,20 @@
         path = _make_feed_path(table, after_version, 0)
         return _decode_changes(await self._exchange(CallProgress(is_bulk_read=True), 'GET', path))
 
+    async def _read_repeatedly(self, table: str, partition: str) -> RowPage:
+        for _ in range(PARTITION_ATTEMPTS - 1):
+            try:
+                return await self.read_partition(table, partition)
+            except StoreUnavailableError as error:
+                log.info('partition %s of table %s not read: %s', partition, table, error)
+            await trio.sleep(PARTITION_RETRY_S)
+        return await self.read_partition(table, partition)
+
     async def _read_page(self, table: str, partition: str, bounds: str) -> RowPage:
         progress = CallProgress(is_bulk_read=True)
-        return _decode_page(await self._read_document(table, partition, bounds, progress))
+        async with self._bulk_slots:
+            document = await self._read_document(table, partition, bounds, progress)
+        return _decode_page(document)
 
     async def _read_document(
         self, table: str, partition: str, bounds: str, progress: CallProgress
@@ -226,9 +252,10 @@
         request: object | None = None,
         permit: Permit | None = None,
     ) -> HttpReply:
+        client = self._bulk_client if progress.is_bulk_read else self._client
         sent_s = self._clock.read_monotonic_s()
         try:
-            reply = await self._call_followed(self._client, progress, method, path, request, permit)
+            reply = await self._call_followed(client, progress, method, path, request, permit)
         except (StoreRefusedError, StoreCallLostError):
             # The call was not sent, or its outcome says nothing of the store as it is now.
             raise
--- a/comfreywind/platform/vm_client.py
+++ b/comfreywind/platform/vm_client.py
@@ -10,7 +10,6 @@
 from comfreywind.decisions.transfer_limit import CallProgress
 from comfreywind.errors import CallNotPermittedError, StoreUnavailableError
 from comfreywind.http.client import HttpClient
-from comfreywind.http.transfer_watch import TransferWatch
 from comfreywind.jobs.vm import Vm
 from comfreywind.jobs.vm_list import VmList
 from comfreywind.platform.amounts import Capacity
@@ -46,7 +45,7 @@
     def __init__(self, address: Address, permit: VmPermit) -> None:
         """Prepare a client; orders are sent only if `permit` returns True for their VM."""
         self._permit = permit
-        self._client = HttpClient(address, CALL_TIMEOUT_S, 4, TransferWatch())
+        self._client = HttpClient(address, CALL_TIMEOUT_S, 4)
 
     async def read_vms(self) -> VmList:
         """Return all VMs; raise StoreUnavailableError when the list can't be read."""
--- a/comfreywind/settings/node.py
+++ b/comfreywind/settings/node.py
@@ -50,7 +50,7 @@
     """Addresses and limits of a node.
 
     `cores` is the processor time of the node in cores of usual speed, `memory_mb` its memory,
-    `max_fds` the most descriptors that it may have open, and
+    `max_fds` the most descriptors that it may have open, `link_mbps` the speed of its network link, and
     `vm_orders_per_s` the rate of orders to the VM service. The VM and advice services are
     used, metrics are served and calls relayed, only if their addresses are set: at `peer_address`
     other nodes hand over calls of callers.
@@ -71,3 +71,4 @@
     metrics_address: Address | None = None
     peer_address: Address | None = None
     max_fds: int = 4100
+    link_mbps: float = 1000
