--- a/comfreywind/exposed_metrics.py
+++ b/comfreywind/exposed_metrics.py
@@ -20,6 +20,9 @@
 CONTENT_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 NOT_IN_NAMES = re.compile('[^a-zA-Z0-9_]')
 
+# Times at which metrics came into being, a third of the text otherwise.
+disable_created_metrics()  # type: ignore[no-untyped-call]
+
 
 class ExposedMetrics:
     """Keeps counters, duration histograms and levels, and serves them as an ASGI app.
@@ -29,8 +32,7 @@
     """
 
     def __init__(self) -> None:
-        """Start without any metric; times at which metrics came into being are left out."""
-        disable_created_metrics()  # type: ignore[no-untyped-call]
+        """Start without any metric."""
         self._registry = CollectorRegistry()
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[str, Histogram] = {}
--- a/comfreywind/scheduling/wait_publisher.py
+++ b/comfreywind/scheduling/wait_publisher.py
@@ -36,6 +36,7 @@
         self._clock = clock
         self._metrics = metrics
         self._estimator = WaitEstimator(state)
+        self._known_queues: set[str] = set()
 
     async def run(self) -> None:
         """Publish every `INTERVAL_S` until cancelled."""
@@ -50,7 +51,9 @@
         waits = self._estimator.estimate(self._count_arriving(), now_ms)
         mark_excess(self._state, waits)
         self._keeper.publish_waits(self._term, waits, self._state.rules, taken_s)
-        for queue in self._state.rules.queues:
+        # A queue gets a metric with its first wait, as there may be thousands that never have one.
+        self._known_queues.update(waits)
+        for queue in self._known_queues:
             total_s = waits[queue].total_s if queue in waits else 0
             self._metrics.set_level(f'scarce_queue_wait_s.{queue}', total_s)
         self._metrics.record_duration('waits', self._clock.read_monotonic_s() - taken_s)
