--- a/comfreywind/platform/concurrent_calls.py
+++ b/comfreywind/platform/concurrent_calls.py
@@ -12,16 +12,27 @@
 
     The error is raised as it is, not in an exception group. Any other error ends all calls.
     """
-    failures: list[StoreUnavailableError] = []
+    failures = await collect_failures(calls)
+    if failures:
+        raise next(iter(failures.values()))
+
+
+async def collect_failures(
+    calls: Iterable[Callable[[], Awaitable[None]]],
+) -> dict[Callable[[], Awaitable[None]], StoreUnavailableError]:
+    """Run all calls to their end; return those that failed with their errors, in that order.
+
+    An error other than StoreUnavailableError ends all calls and is raised.
+    """
+    failures: dict[Callable[[], Awaitable[None]], StoreUnavailableError] = {}
 
     async def run(call: Callable[[], Awaitable[None]]) -> None:
         try:
             await call()
         except StoreUnavailableError as error:
-            failures.append(error)
+            failures[call] = error
 
     async with trio.open_nursery() as nursery:
         for call in calls:
             nursery.start_soon(run, call)
-    if failures:
-        raise failures[0]
+    return failures
--- a/comfreywind/scheduling/holder.py
+++ b/comfreywind/scheduling/holder.py
@@ -8,7 +8,6 @@
 
 from comfreywind.clock import Clock
 from comfreywind.decisions.scheduling.pool_size import DEFAULT_POLICY
-from comfreywind.errors import StoreUnavailableError
 from comfreywind.jobs.ended_job import EndedJob
 from comfreywind.jobs.job_codec import decode_intake_row, decode_progress
 from comfreywind.jobs.progress import Progress
@@ -23,7 +22,7 @@
 from comfreywind.jobs.target_entry import TargetEntry
 from comfreywind.metrics import Metrics
 from comfreywind.platform.advice_client import AdviceClient
-from comfreywind.platform.concurrent_calls import run_concurrently
+from comfreywind.platform.concurrent_calls import collect_failures
 from comfreywind.platform.rows_client import RowsClient
 from comfreywind.platform.stored_row import StoredRow
 from comfreywind.platform.target_client import TargetClient
@@ -260,26 +259,21 @@
                 self._nursery.start_soon(link.send, order)
 
     async def _load(self) -> None:
-        while True:
-            try:
-                await self._read_state()
-            except StoreUnavailableError as error:
+        """Read the state of the earlier holder; what can't be read is read again by itself."""
+        missing: list[Callable[[], Awaitable[None]]] = [
+            self._registry.load,
+            self._reservations.load,
+            partial(self._open_starts.load, self._term.taken_s),
+            self._read_progress,
+        ]
+        while missing:
+            failures = await collect_failures(missing)
+            missing = list(failures)
+            for error in failures.values():
                 log.info('term %d: state not read, trying again: %s', self._term.epoch, error)
+            if missing:
                 await trio.sleep(RETRY_S)
-            else:
-                self._progress_loaded.set()
-                return
-
-    async def _read_state(self) -> None:
-        load_open_starts = partial(self._open_starts.load, self._term.taken_s)
-        await run_concurrently(
-            (
-                self._read_progress,
-                self._registry.load,
-                self._reservations.load,
-                load_open_starts,
-            )
-        )
+        self._progress_loaded.set()
 
     async def _read_progress(self) -> None:
         for page in await self._rows.read_partitions(TABLE_PROGRESS, PROGRESS_PARTITIONS):
