Spread calls that are handed over, and tell the other node how long it is waited for

Found by the review: all calls of a node went to the first node that had served one; a node that kept a call until the time of its caller was over stayed the first choice; a reply 504 of a node, which may only tell of a short deadline, ended the search. A node that is not known is now asked before those that serve while these are fewer than three; a node that keeps a call for 0.3 s without a reply counts as silent; after a 504 the next node is asked. A relayed call carries the time for which its reply is waited, 0.8 s at most, instead of the caller's whole deadline, so the other node does not work on for nobody.

--- a/comfreywind/decisions/peer_choice.py
+++ b/comfreywind/decisions/peer_choice.py
@@ -26,20 +26,28 @@
 ) -> list[str]:
     """Return the names of the nodes to ask, in that order.
 
-    Nodes that have served a call lately come first, and those that have declined one come last, as
-    a trouble that keeps this node from serving often has most of the others too. Among equals the
-    order is random, so that the calls of nodes that are cut off together spread over the others.
+    Nodes that have served a call lately come first, as what keeps this node from serving often has
+    most of the others too; those that have declined one come last. While few are known to serve,
+    one that is not known comes before them, so that the calls spread over more nodes.
     """
-    ranks = {peer: _rank_peer(replies.get(peer, PeerReplies()), now_s) for peer in sorted(peers)}
-    available = [peer for peer, rank in ranks.items() if rank is not None]
-    shuffled = random.sample(available, len(available))
-    return sorted(shuffled, key=lambda peer: ranks[peer] or 0)[:PEER_LIMIT]
-
-
-def _rank_peer(replies: PeerReplies, now_s: float) -> int | None:
-    """Return the rank of a node, the lowest to be asked first, or None to leave it alone."""
-    if replies.served_s > max(replies.declined_s, now_s - PEER_MEMORY_S):
-        return 0
-    if now_s - replies.declined_s < PEER_PAUSE_S:
-        return None
-    return 2 if now_s - replies.declined_s < PEER_MEMORY_S else 1
+    shuffled = random.sample(sorted(peers), len(peers))
+    served, unknown, declined = (
+        [peer for peer in shuffled if is_kind(replies.get(peer, PeerReplies()), now_s)]
+        for is_kind in (_has_served, _is_unknown, _may_be_asked_again)
+    )
+    explored = unknown[:1] if len(served) < PEER_LIMIT else []
+    return [*explored, *served, *unknown[len(explored) :], *declined][:PEER_LIMIT]
+
+
+def _has_served(replies: PeerReplies, now_s: float) -> bool:
+    return replies.served_s > max(replies.declined_s, now_s - PEER_MEMORY_S)
+
+
+def _is_unknown(replies: PeerReplies, now_s: float) -> bool:
+    return not _has_served(replies, now_s) and now_s - replies.declined_s >= PEER_MEMORY_S
+
+
+def _may_be_asked_again(replies: PeerReplies, now_s: float) -> bool:
+    """Return whether a node has declined a call lately, but not just now."""
+    since_s = now_s - replies.declined_s
+    return not _has_served(replies, now_s) and PEER_PAUSE_S <= since_s < PEER_MEMORY_S
--- a/comfreywind/intake/job_app.py
+++ b/comfreywind/intake/job_app.py
@@ -105,6 +105,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         headers = dict(scope['headers'])
+        reply_by_s = self._clock.read_monotonic_s() + _read_deadline_s(headers)
         refusal = self._refuse_early(scope['method'], scope['path'], headers)
         try:
             body = await _read_call_body(scope['method'], headers, receive, refusal is not None)
@@ -114,7 +115,7 @@
             await send_json(send, 413, {'error': str(error)})
             return
         started_s = self._clock.read_monotonic_s()
-        call = CallerCall(scope['method'], scope['path'], headers, body)
+        call = CallerCall(scope['method'], scope['path'], headers, body, reply_by_s)
         reply = refusal or await self._serve(call)
         self._record_call(scope['method'], reply.status, started_s)
         # A caller that keeps its connection open would go on calling the node that shuts down.
@@ -142,7 +143,7 @@
         self._metrics.count(f'calls.{name}.{status}')
 
     async def _serve(self, call: CallerCall) -> Reply:
-        with trio.move_on_after(_read_deadline_s(call.headers)):
+        with trio.move_on_after(call.reply_by_s - self._clock.read_monotonic_s()):
             try:
                 return await self._serve_in_time(call)
             except Exception as error:
--- a/comfreywind/intake/peer_relay.py
+++ b/comfreywind/intake/peer_relay.py
@@ -6,12 +6,14 @@
 from dataclasses import dataclass, replace
 from urllib.parse import quote
 
+import trio
+
 from comfreywind.clock import Clock
 from comfreywind.decisions.peer_choice import PeerReplies, choose_peers
 from comfreywind.http.client import HttpClient, HttpReply
 from comfreywind.intake.caller_call import CallerCall
 from comfreywind.metrics import Metrics
-from comfreywind.platform.store_call import CALL_FAILURES, LOWEST_SERVER_ERROR
+from comfreywind.platform.store_call import CALL_FAILURES
 from comfreywind.platform.wire import HEADER_DEADLINE
 from comfreywind.settings.address import Address
 
@@ -20,7 +22,12 @@
 # With this reply a node guarantees that the call had no effect, and another node may serve it. A
 # job that is refused with 429 would be refused by the others as well, by the same figures.
 STATUS_DECLINED = 503
-FORWARDED_HEADERS = (b'host', b'authorization', HEADER_DEADLINE)
+# The node that was asked doesn't know whether the call had an effect.
+STATUS_UNKNOWN = 504
+FORWARDED_HEADERS = (b'host', b'authorization')
+# A node that has kept a call for this time without a reply counts as one that gives none.
+LATE_REPLY_S = 0.3
+MS_PER_S = 1000
 
 log = logging.getLogger('comfreywind.relay')
 
@@ -60,23 +67,35 @@
         may_have_effect = False
         now_s = self._clock.read_monotonic_s()
         for name in choose_peers(peers, self._replies, now_s, self._random):
-            call.trace.begin(f'node {name}', self._clock.read_monotonic_s())
-            try:
-                reply = await self._ask(peers[name], call)
-            except CALL_FAILURES as error:
-                log.info('node %s gave no reply to a relayed call: %r', name, error)
-                self._metrics.count('relayed.unanswered')
+            reply = await self._try_peer(name, peers[name], call)
+            if reply is None or reply.status == STATUS_UNKNOWN:
                 may_have_effect = True
-            else:
-                if reply.status != STATUS_DECLINED:
-                    self._metrics.count(f'relayed.{reply.status}')
-                    self._note_reply(name, is_served=reply.status < LOWEST_SERVER_ERROR)
-                    return RelayOutcome(reply, may_have_effect)
-                self._metrics.count('relayed.declined')
-            self._note_reply(name, is_served=False)
+            elif reply.status != STATUS_DECLINED:
+                return RelayOutcome(reply, may_have_effect)
         self._metrics.count('relayed.none')
         return RelayOutcome(None, may_have_effect)
 
+    async def _try_peer(self, name: str, address: Address, call: CallerCall) -> HttpReply | None:
+        """Return the reply of a node, or None when it gives none, and remember which it was."""
+        asked_s = self._clock.read_monotonic_s()
+        call.trace.begin(f'node {name}', asked_s)
+        try:
+            reply = await self._ask(address, call)
+        except CALL_FAILURES as error:
+            log.info('node %s gave no reply to a relayed call: %r', name, error)
+            self._metrics.count('relayed.unanswered')
+            self._note_reply(name, is_served=False)
+            return None
+        except trio.Cancelled:
+            # The caller's time is over.
+            if self._clock.read_monotonic_s() - asked_s >= LATE_REPLY_S:
+                self._note_reply(name, is_served=False)
+            raise
+        self._metrics.count(f'relayed.{reply.status}')
+        if reply.status != STATUS_UNKNOWN:
+            self._note_reply(name, is_served=reply.status != STATUS_DECLINED)
+        return reply
+
     def _note_reply(self, name: str, is_served: bool) -> None:
         now_s = self._clock.read_monotonic_s()
         earlier = self._replies.get(name, PeerReplies())
@@ -88,4 +107,10 @@
         if client is None:
             client = self._clients.setdefault(address, HttpClient(address, RELAY_TIMEOUT_S))
         headers = [(name, call.headers[name]) for name in FORWARDED_HEADERS if name in call.headers]
+        headers.append((HEADER_DEADLINE, self._format_deadline(call)))
         return await client.call(call.method, quote(call.path), headers=headers, raw_body=call.body)
+
+    def _format_deadline(self, call: CallerCall) -> bytes:
+        """Return how long the reply of the other node is waited for."""
+        left_s = call.reply_by_s - self._clock.read_monotonic_s()
+        return str(int(max(min(left_s, RELAY_TIMEOUT_S), 0) * MS_PER_S)).encode()
