--- a/comfreywind/platform/rows_client.py
+++ b/comfreywind/platform/rows_client.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 from urllib.parse import quote
@@ -53,6 +54,15 @@
 log = logging.getLogger('comfreywind.store')
 
 
+@dataclass(frozen=True, slots=True)
+class _StoreCall:
+    method: str
+    path: str
+    document: object | None = None
+    permit: Permit | None = None
+    progress: CallProgress = field(default_factory=CallProgress)
+
+
 class RowsClient:
     """Reads rows and changes, and commits transactions.
 
@@ -112,9 +122,8 @@
         """
         transaction = _encode_changes(partition, changes)
         sent_s = self._clock.read_monotonic_s()
-        status, document = await self._call(
-            CallProgress(), 'POST', '/v1/rows-tx', transaction, permit
-        )
+        call = _StoreCall('POST', '/v1/rows-tx', transaction, permit)
+        status, document = await self._call(call)
         self.commit_took_s = self._clock.read_monotonic_s() - sent_s
         if status == STATUS_CONFLICT:
             raise RowsChangedError(_read_rows(document))
@@ -123,7 +132,8 @@
     async def read_row(self, table: str, partition: str, key: str) -> StoredRow:
         """Return the row, with version 0 when it does not exist."""
         bounds = f'&from={quote(key, safe="")}&to={quote(key, safe="")}%00&limit=1'
-        page = _decode_page(await self._read_document(table, partition, bounds, CallProgress()))
+        call = _StoreCall('GET', _make_read_path(table, partition, bounds))
+        page = _decode_page((await self._call(call))[1])
         if page.rows:
             return page.rows[0]
         return StoredRow(table, partition, key, None, 0)
@@ -155,9 +165,7 @@
         start, has_more = quote(prefix, safe=''), True
         while has_more:
             bounds = f'&from={start}&to={end}&limit={PAGE_ROWS}'
-            document = await self._read_document(
-                table, partition, bounds, CallProgress(is_bulk_read=True)
-            )
+            document = await self._read_bulk(table, partition, bounds)
             with _wrap_decoding_errors():
                 page = {str(row['key']): int(row.get('schema_ver', 0)) for row in document['rows']}
             versions.update(page)
@@ -185,18 +193,16 @@
         Without a change it waits for the first one, up to `feed_wait_s`. Raises HistoryLostError
         when the store has dropped the history after that version.
         """
-        path = _make_feed_path(table, after_version, self._feed_wait_ms)
-        progress = CallProgress(is_bulk_read=True)
-        reply = await self._call_followed(self._feed_client, progress, 'GET', path)
-        return _decode_changes(reply)
+        call = _make_bulk_read(_make_feed_path(table, after_version, self._feed_wait_ms))
+        return _decode_changes(await self._call_followed(self._feed_client, call))
 
     async def read_changes_now(self, table: str, after_version: int) -> RowPage:
         """Return the rows that changed after the version, without waiting for a change.
 
         Raises HistoryLostError as `read_changes` does.
         """
-        path = _make_feed_path(table, after_version, 0)
-        return _decode_changes(await self._exchange(CallProgress(is_bulk_read=True), 'GET', path))
+        call = _make_bulk_read(_make_feed_path(table, after_version, 0))
+        return _decode_changes(await self._exchange(call))
 
     async def _read_repeatedly(self, table: str, partition: str) -> RowPage:
         for _ in range(PARTITION_ATTEMPTS - 1):
@@ -208,35 +214,23 @@
         return await self.read_partition(table, partition)
 
     async def _read_page(self, table: str, partition: str, bounds: str) -> RowPage:
-        progress = CallProgress(is_bulk_read=True)
-        async with self._bulk_slots:
-            document = await self._read_document(table, partition, bounds, progress)
-        return _decode_page(document)
+        return _decode_page(await self._read_bulk(table, partition, bounds))
 
-    async def _read_document(
-        self, table: str, partition: str, bounds: str, progress: CallProgress
-    ) -> dict[str, Any]:
-        query = f'table_name={quote(table, safe="")}&part={quote(partition, safe="")}{bounds}'
-        _, document = await self._call(progress, 'GET', f'/v1/rows-get?{query}')
-        return document
+    async def _read_bulk(self, table: str, partition: str, bounds: str) -> dict[str, Any]:
+        async with self._bulk_slots:
+            call = _make_bulk_read(_make_read_path(table, partition, bounds))
+            return (await self._call(call))[1]
 
-    async def _call(
-        self,
-        progress: CallProgress,
-        method: str,
-        path: str,
-        request: object | None = None,
-        permit: Permit | None = None,
-    ) -> tuple[int, dict[str, Any]]:
+    async def _call(self, call: _StoreCall) -> tuple[int, dict[str, Any]]:
         """Return the status (200 or 412) and the document of the reply, and record metrics."""
         sent_s = self._clock.read_monotonic_s()
         try:
-            reply = await self._exchange(progress, method, path, request, permit)
+            reply = await self._exchange(call)
         except StoreUnavailableError:
             self._metrics.count('store_calls.unanswered')
             raise
         duration_s = self._clock.read_monotonic_s() - sent_s
-        self._metrics.record_duration(f'store_calls.{method}', duration_s)
+        self._metrics.record_duration(f'store_calls.{call.method}', duration_s)
         self._metrics.count(f'store_calls.{reply.status}')
         document = _read_document(reply)
         # A reading of the store's clock is as inexact as its call was long.
@@ -244,18 +238,11 @@
             self._update_store_time(document, sent_s)
         return reply.status, document
 
-    async def _exchange(
-        self,
-        progress: CallProgress,
-        method: str,
-        path: str,
-        request: object | None = None,
-        permit: Permit | None = None,
-    ) -> HttpReply:
-        client = self._bulk_client if progress.is_bulk_read else self._client
+    async def _exchange(self, call: _StoreCall) -> HttpReply:
+        client = self._bulk_client if call.progress.is_bulk_read else self._client
         sent_s = self._clock.read_monotonic_s()
         try:
-            reply = await self._call_followed(client, progress, method, path, request, permit)
+            reply = await self._call_followed(client, call)
         except (StoreRefusedError, StoreCallLostError):
             # The call was not sent, or its outcome says nothing of the store as it is now.
             raise
@@ -269,20 +256,12 @@
             self.contact.record_answer(sent_s)
         return reply
 
-    async def _call_followed(
-        self,
-        client: HttpClient,
-        progress: CallProgress,
-        method: str,
-        path: str,
-        request: object | None = None,
-        permit: Permit | None = None,
-    ) -> HttpReply:
-        call = partial(_call, client, method, path, request, permit, progress)
+    async def _call_followed(self, client: HttpClient, call: _StoreCall) -> HttpReply:
+        is_answered = partial(_is_answered, call.progress)
         try:
-            return await self.contact.follow(call, lambda: progress.answered_bytes > 0)
+            return await self.contact.follow(partial(_send, client, call), is_answered)
         except CallAbandonedError as error:
-            raise StoreCallLostError(f'{method} {path[:60]}: no reply: {error}') from error
+            raise StoreCallLostError(f'{_describe(call)}: no reply: {error}') from error
 
     def _update_store_time(self, document: dict[str, Any], sent_s: float) -> None:
         with _wrap_decoding_errors():
@@ -290,20 +269,32 @@
         self._store_time = StoreTime(store_ms, sent_s, self._clock.read_monotonic_s())
 
 
-async def _call(
-    client: HttpClient,
-    method: str,
-    path: str,
-    document: object | None = None,
-    permit: Permit | None = None,
-    progress: CallProgress | None = None,
-) -> HttpReply:
+async def _send(client: HttpClient, call: _StoreCall) -> HttpReply:
     try:
-        return await client.call(method, path, document, permit=permit, progress=progress)
+        return await client.call(
+            call.method, call.path, call.document, permit=call.permit, progress=call.progress
+        )
     except CallNotPermittedError as error:
-        raise StoreRefusedError(f'{method} {path[:60]}: {error}') from error
+        raise StoreRefusedError(f'{_describe(call)}: {error}') from error
     except CALL_FAILURES as error:
-        raise StoreUnavailableError(f'{method} {path[:60]}: no reply: {error!r}') from error
+        raise StoreUnavailableError(f'{_describe(call)}: no reply: {error!r}') from error
+
+
+def _describe(call: _StoreCall) -> str:
+    return f'{call.method} {call.path[:60]}'
+
+
+def _is_answered(progress: CallProgress) -> bool:
+    return progress.answered_bytes > 0
+
+
+def _make_bulk_read(path: str) -> _StoreCall:
+    return _StoreCall('GET', path, progress=CallProgress(is_bulk_read=True))
+
+
+def _make_read_path(table: str, partition: str, bounds: str) -> str:
+    query = f'table_name={quote(table, safe="")}&part={quote(partition, safe="")}{bounds}'
+    return f'/v1/rows-get?{query}'
 
 
 def _make_feed_path(table: str, after_version: int, wait_ms: int) -> str:
