Ask the serving node first also when the others may be asked again, in its test

The test passed without the change that it guards: within the pause of 1 s all nodes that decline are left out anyway. It now waits for 1.5 s, and both of its cases fail when the order of the nodes is random again.

--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from comfreywind.clock import SystemClock
+from comfreywind.clock import Clock, SystemClock
 from comfreywind.decisions.peer_choice import (
     PEER_LIMIT,
     PEER_MEMORY_S,
@@ -182,10 +182,12 @@
 class ScriptedRelay(PeerRelay):
     """A relay whose peers answer as told: a status, or None for no answer."""
 
-    def __init__(self, statuses: Mapping[str, int | None]) -> None:
+    def __init__(self, statuses: Mapping[str, int | None], clock: Clock | None = None) -> None:
         """Set the answers by peer."""
         super().__init__(
-            lambda: {name: ADDRESSES[name] for name in statuses}, SystemClock(), NoMetrics()
+            lambda: {name: ADDRESSES[name] for name in statuses},
+            clock or SystemClock(),
+            NoMetrics(),
         )
         self.asked: list[str] = []
         self._statuses = statuses
@@ -243,14 +245,17 @@
 # Guards against calls that wait for one node after the other of which most have the same trouble,
 # while a few nodes would serve them (LOST on villacres-quito-grown: 36 of 42 nodes had old rules).
 @pytest.mark.parametrize('last_status', [200, 410])
-async def test_peer_that_serves_is_asked_first(last_status: int) -> None:
-    """Asks the one node of five that has served a call, once it has been found."""
+async def test_peer_that_serves_is_asked_first(
+    autojump_clock: trio.testing.MockClock, last_status: int
+) -> None:
+    """Asks the one node of five that has served a call, also when the others may be asked again."""
     statuses: dict[str, int | None] = dict.fromkeys(ADDRESSES, 503)
     statuses['node-4'] = last_status
-    relay = ScriptedRelay(statuses)
+    relay = ScriptedRelay(statuses, TrioClock())
     call = CallerCall('GET', JOB_PATH, {}, b'')
     for _ in ADDRESSES:
         await relay.forward(call)
+    await trio.sleep(1.5 * PEER_PAUSE_S)
     relay.asked.clear()
     for _ in range(10):
         await relay.forward(call)
