Give bulk reads and small calls as many connections in the test of both

With 48 connections for small calls, the test held also when bulk reads shared them; with two it fails then (small call not answered within 1.5 s).

--- a/tests/platform/test_rows_client.py
+++ b/tests/platform/test_rows_client.py
@@ -6,10 +6,12 @@
 from functools import partial
 from urllib.parse import parse_qs
 
+import pytest
 import trio
 
 from comfreywind.clock import SystemClock
 from comfreywind.decisions.transfer_limit import PART_BYTES
+from comfreywind.platform import rows_client
 from comfreywind.platform.rows_client import CALL_TIMEOUT_S, PAGE_ROWS, RowsClient
 from comfreywind.settings.address import Address
 
@@ -69,9 +71,11 @@
 
 
 # Guards against renewals and callers' reads that wait behind the pages of all jobs.
-async def test_small_call_beside_bulk_reads() -> None:
+async def test_small_call_beside_bulk_reads(monkeypatch: pytest.MonkeyPatch) -> None:
     """Reads one row at once while more pages are asked for than may be open."""
-    store = PartStore(part_pause_s=0.1)
+    # As many connections as bulk reads: none is left if they share them.
+    monkeypatch.setattr(rows_client, 'CONNECTION_LIMIT', BULK_READS)
+    store = PartStore(part_pause_s=0.25)
     partitions = [f'p{number}' for number in range(6)]
     async with run_client(store) as client, trio.open_nursery() as nursery:
         nursery.start_soon(client.read_partitions, 'table', partitions)
